--- a/test/src/main/kotlin/auburnhall/test/FakeKeyValueStore.kt
+++ b/test/src/main/kotlin/auburnhall/test/FakeKeyValueStore.kt
@@ -267,9 +267,22 @@
             apply: () -> List<() -> Unit>?,
         ): WriteResult {
             expireLeases()
-            val f = count(operation, key)
-            if (f == StoreFault.LOST_CALL) return WriteResult.Unknown("no answer to $operation $key")
-            if (f == StoreFault.REFUSED) return WriteResult.Refused("$operation $key refused")
+            return when (count(operation, key)) {
+                StoreFault.LOST_CALL -> WriteResult.Unknown("no answer to $operation $key")
+                StoreFault.REFUSED -> WriteResult.Refused("$operation $key refused")
+                StoreFault.NONE -> carryOut(key, expectedRevision, apply)
+                StoreFault.LOST_ANSWER -> {
+                    carryOut(key, expectedRevision, apply)
+                    WriteResult.Unknown("answer to $operation $key lost")
+                }
+            }
+        }
+
+        private fun carryOut(
+            key: String,
+            expectedRevision: Long,
+            apply: () -> List<() -> Unit>?,
+        ): WriteResult {
             val events: List<() -> Unit>
             val result: WriteResult
             synchronized(lock) {
@@ -279,7 +292,7 @@
                 result = if (applied == null) WriteResult.Conflict(current) else WriteResult.Success(revision)
             }
             events.forEach { it() }
-            return if (f == StoreFault.LOST_ANSWER) WriteResult.Unknown("answer to $operation $key lost") else result
+            return result
         }
 
         private fun lease(
