--- a/proto/src/main/java/auburnhall/proto/peer/FetchConfigReply.java
+++ b/proto/src/main/java/auburnhall/proto/peer/FetchConfigReply.java
@@ -47,6 +47,10 @@
   public static final int CONFIG_VERSION_FIELD_NUMBER = 1;
   private long configVersion_ = 0L;
   /**
+   * <pre>
+   * Sequence number of the document; 0 when the callee has none.
+   * </pre>
+   *
    * <code>int64 config_version = 1;</code>
    * @return The configVersion.
    */
@@ -58,6 +62,10 @@
   public static final int STORE_AGE_MS_FIELD_NUMBER = 2;
   private long storeAgeMs_ = 0L;
   /**
+   * <pre>
+   * Time since the document was last confirmed to be the newest, in milliseconds; -1 when never.
+   * </pre>
+   *
    * <code>int64 store_age_ms = 2;</code>
    * @return The storeAgeMs.
    */
@@ -424,6 +432,10 @@
 
     private long configVersion_ ;
     /**
+     * <pre>
+     * Sequence number of the document; 0 when the callee has none.
+     * </pre>
+     *
      * <code>int64 config_version = 1;</code>
      * @return The configVersion.
      */
@@ -432,6 +444,10 @@
       return configVersion_;
     }
     /**
+     * <pre>
+     * Sequence number of the document; 0 when the callee has none.
+     * </pre>
+     *
      * <code>int64 config_version = 1;</code>
      * @param value The configVersion to set.
      * @return This builder for chaining.
@@ -444,6 +460,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Sequence number of the document; 0 when the callee has none.
+     * </pre>
+     *
      * <code>int64 config_version = 1;</code>
      * @return This builder for chaining.
      */
@@ -456,6 +476,10 @@
 
     private long storeAgeMs_ ;
     /**
+     * <pre>
+     * Time since the document was last confirmed to be the newest, in milliseconds; -1 when never.
+     * </pre>
+     *
      * <code>int64 store_age_ms = 2;</code>
      * @return The storeAgeMs.
      */
@@ -464,6 +488,10 @@
       return storeAgeMs_;
     }
     /**
+     * <pre>
+     * Time since the document was last confirmed to be the newest, in milliseconds; -1 when never.
+     * </pre>
+     *
      * <code>int64 store_age_ms = 2;</code>
      * @param value The storeAgeMs to set.
      * @return This builder for chaining.
@@ -476,6 +504,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Time since the document was last confirmed to be the newest, in milliseconds; -1 when never.
+     * </pre>
+     *
      * <code>int64 store_age_ms = 2;</code>
      * @return This builder for chaining.
      */
--- a/proto/src/main/java/auburnhall/proto/peer/FetchConfigReplyOrBuilder.java
+++ b/proto/src/main/java/auburnhall/proto/peer/FetchConfigReplyOrBuilder.java
@@ -11,12 +11,20 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
+   * <pre>
+   * Sequence number of the document; 0 when the callee has none.
+   * </pre>
+   *
    * <code>int64 config_version = 1;</code>
    * @return The configVersion.
    */
   long getConfigVersion();
 
   /**
+   * <pre>
+   * Time since the document was last confirmed to be the newest, in milliseconds; -1 when never.
+   * </pre>
+   *
    * <code>int64 store_age_ms = 2;</code>
    * @return The storeAgeMs.
    */
--- a/proto/src/main/java/auburnhall/proto/peer/HeartbeatReply.java
+++ b/proto/src/main/java/auburnhall/proto/peer/HeartbeatReply.java
@@ -30,6 +30,7 @@
   private HeartbeatReply() {
     process_ = "";
     dataCentre_ = "";
+    heard_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -88,7 +89,7 @@
   private long configVersion_ = 0L;
   /**
    * <pre>
-   * Version of the configuration in force at the callee; 0 when it has none.
+   * Sequence number of the newest copy of the configuration that the callee has ever had; 0 when none.
    * </pre>
    *
    * <code>int64 config_version = 2;</code>
@@ -103,7 +104,7 @@
   private long storeAgeMs_ = 0L;
   /**
    * <pre>
-   * Time since the callee last read its version from the store, in milliseconds; -1 when never.
+   * Time since that copy was last confirmed to be the newest, in milliseconds; -1 when never.
    * </pre>
    *
    * <code>int64 store_age_ms = 3;</code>
@@ -164,6 +165,47 @@
     }
   }
 
+  public static final int HEARD_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private java.util.List<auburnhall.proto.peer.HeardProcess> heard_;
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<auburnhall.proto.peer.HeardProcess> getHeardList() {
+    return heard_;
+  }
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends auburnhall.proto.peer.HeardProcessOrBuilder> 
+      getHeardOrBuilderList() {
+    return heard_;
+  }
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+   */
+  @java.lang.Override
+  public int getHeardCount() {
+    return heard_.size();
+  }
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+   */
+  @java.lang.Override
+  public auburnhall.proto.peer.HeardProcess getHeard(int index) {
+    return heard_.get(index);
+  }
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+   */
+  @java.lang.Override
+  public auburnhall.proto.peer.HeardProcessOrBuilder getHeardOrBuilder(
+      int index) {
+    return heard_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -193,6 +235,9 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 5, dataCentre_);
     }
+    for (int i = 0; i < heard_.size(); i++) {
+      output.writeMessage(6, heard_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -220,6 +265,10 @@
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(dataCentre_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(5, dataCentre_);
     }
+    for (int i = 0; i < heard_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(6, heard_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -245,6 +294,8 @@
         != other.getDraining()) return false;
     if (!getDataCentre()
         .equals(other.getDataCentre())) return false;
+    if (!getHeardList()
+        .equals(other.getHeardList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -269,6 +320,10 @@
         getDraining());
     hash = (37 * hash) + DATA_CENTRE_FIELD_NUMBER;
     hash = (53 * hash) + getDataCentre().hashCode();
+    if (getHeardCount() > 0) {
+      hash = (37 * hash) + HEARD_FIELD_NUMBER;
+      hash = (53 * hash) + getHeardList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -405,6 +460,13 @@
       storeAgeMs_ = 0L;
       draining_ = false;
       dataCentre_ = "";
+      if (heardBuilder_ == null) {
+        heard_ = java.util.Collections.emptyList();
+      } else {
+        heard_ = null;
+        heardBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000020);
       return this;
     }
 
@@ -431,11 +493,24 @@
     @java.lang.Override
     public auburnhall.proto.peer.HeartbeatReply buildPartial() {
       auburnhall.proto.peer.HeartbeatReply result = new auburnhall.proto.peer.HeartbeatReply(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(auburnhall.proto.peer.HeartbeatReply result) {
+      if (heardBuilder_ == null) {
+        if (((bitField0_ & 0x00000020) != 0)) {
+          heard_ = java.util.Collections.unmodifiableList(heard_);
+          bitField0_ = (bitField0_ & ~0x00000020);
+        }
+        result.heard_ = heard_;
+      } else {
+        result.heard_ = heardBuilder_.build();
+      }
+    }
+
     private void buildPartial0(auburnhall.proto.peer.HeartbeatReply result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -486,6 +561,32 @@
         bitField0_ |= 0x00000010;
         onChanged();
       }
+      if (heardBuilder_ == null) {
+        if (!other.heard_.isEmpty()) {
+          if (heard_.isEmpty()) {
+            heard_ = other.heard_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+          } else {
+            ensureHeardIsMutable();
+            heard_.addAll(other.heard_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.heard_.isEmpty()) {
+          if (heardBuilder_.isEmpty()) {
+            heardBuilder_.dispose();
+            heardBuilder_ = null;
+            heard_ = other.heard_;
+            bitField0_ = (bitField0_ & ~0x00000020);
+            heardBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetHeardFieldBuilder() : null;
+          } else {
+            heardBuilder_.addAllMessages(other.heard_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -537,6 +638,19 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 50: {
+              auburnhall.proto.peer.HeardProcess m =
+                  input.readMessage(
+                      auburnhall.proto.peer.HeardProcess.parser(),
+                      extensionRegistry);
+              if (heardBuilder_ == null) {
+                ensureHeardIsMutable();
+                heard_.add(m);
+              } else {
+                heardBuilder_.addMessage(m);
+              }
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -629,7 +743,7 @@
     private long configVersion_ ;
     /**
      * <pre>
-     * Version of the configuration in force at the callee; 0 when it has none.
+     * Sequence number of the newest copy of the configuration that the callee has ever had; 0 when none.
      * </pre>
      *
      * <code>int64 config_version = 2;</code>
@@ -641,7 +755,7 @@
     }
     /**
      * <pre>
-     * Version of the configuration in force at the callee; 0 when it has none.
+     * Sequence number of the newest copy of the configuration that the callee has ever had; 0 when none.
      * </pre>
      *
      * <code>int64 config_version = 2;</code>
@@ -657,7 +771,7 @@
     }
     /**
      * <pre>
-     * Version of the configuration in force at the callee; 0 when it has none.
+     * Sequence number of the newest copy of the configuration that the callee has ever had; 0 when none.
      * </pre>
      *
      * <code>int64 config_version = 2;</code>
@@ -673,7 +787,7 @@
     private long storeAgeMs_ ;
     /**
      * <pre>
-     * Time since the callee last read its version from the store, in milliseconds; -1 when never.
+     * Time since that copy was last confirmed to be the newest, in milliseconds; -1 when never.
      * </pre>
      *
      * <code>int64 store_age_ms = 3;</code>
@@ -685,7 +799,7 @@
     }
     /**
      * <pre>
-     * Time since the callee last read its version from the store, in milliseconds; -1 when never.
+     * Time since that copy was last confirmed to be the newest, in milliseconds; -1 when never.
      * </pre>
      *
      * <code>int64 store_age_ms = 3;</code>
@@ -701,7 +815,7 @@
     }
     /**
      * <pre>
-     * Time since the callee last read its version from the store, in milliseconds; -1 when never.
+     * Time since that copy was last confirmed to be the newest, in milliseconds; -1 when never.
      * </pre>
      *
      * <code>int64 store_age_ms = 3;</code>
@@ -818,6 +932,246 @@
       return this;
     }
 
+    private java.util.List<auburnhall.proto.peer.HeardProcess> heard_ =
+      java.util.Collections.emptyList();
+    private void ensureHeardIsMutable() {
+      if (!((bitField0_ & 0x00000020) != 0)) {
+        heard_ = new java.util.ArrayList<auburnhall.proto.peer.HeardProcess>(heard_);
+        bitField0_ |= 0x00000020;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        auburnhall.proto.peer.HeardProcess, auburnhall.proto.peer.HeardProcess.Builder, auburnhall.proto.peer.HeardProcessOrBuilder> heardBuilder_;
+
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public java.util.List<auburnhall.proto.peer.HeardProcess> getHeardList() {
+      if (heardBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(heard_);
+      } else {
+        return heardBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public int getHeardCount() {
+      if (heardBuilder_ == null) {
+        return heard_.size();
+      } else {
+        return heardBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public auburnhall.proto.peer.HeardProcess getHeard(int index) {
+      if (heardBuilder_ == null) {
+        return heard_.get(index);
+      } else {
+        return heardBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public Builder setHeard(
+        int index, auburnhall.proto.peer.HeardProcess value) {
+      if (heardBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureHeardIsMutable();
+        heard_.set(index, value);
+        onChanged();
+      } else {
+        heardBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public Builder setHeard(
+        int index, auburnhall.proto.peer.HeardProcess.Builder builderForValue) {
+      if (heardBuilder_ == null) {
+        ensureHeardIsMutable();
+        heard_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        heardBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public Builder addHeard(auburnhall.proto.peer.HeardProcess value) {
+      if (heardBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureHeardIsMutable();
+        heard_.add(value);
+        onChanged();
+      } else {
+        heardBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public Builder addHeard(
+        int index, auburnhall.proto.peer.HeardProcess value) {
+      if (heardBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureHeardIsMutable();
+        heard_.add(index, value);
+        onChanged();
+      } else {
+        heardBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public Builder addHeard(
+        auburnhall.proto.peer.HeardProcess.Builder builderForValue) {
+      if (heardBuilder_ == null) {
+        ensureHeardIsMutable();
+        heard_.add(builderForValue.build());
+        onChanged();
+      } else {
+        heardBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public Builder addHeard(
+        int index, auburnhall.proto.peer.HeardProcess.Builder builderForValue) {
+      if (heardBuilder_ == null) {
+        ensureHeardIsMutable();
+        heard_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        heardBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public Builder addAllHeard(
+        java.lang.Iterable<? extends auburnhall.proto.peer.HeardProcess> values) {
+      if (heardBuilder_ == null) {
+        ensureHeardIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, heard_);
+        onChanged();
+      } else {
+        heardBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public Builder clearHeard() {
+      if (heardBuilder_ == null) {
+        heard_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000020);
+        onChanged();
+      } else {
+        heardBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public Builder removeHeard(int index) {
+      if (heardBuilder_ == null) {
+        ensureHeardIsMutable();
+        heard_.remove(index);
+        onChanged();
+      } else {
+        heardBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public auburnhall.proto.peer.HeardProcess.Builder getHeardBuilder(
+        int index) {
+      return internalGetHeardFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public auburnhall.proto.peer.HeardProcessOrBuilder getHeardOrBuilder(
+        int index) {
+      if (heardBuilder_ == null) {
+        return heard_.get(index);  } else {
+        return heardBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public java.util.List<? extends auburnhall.proto.peer.HeardProcessOrBuilder> 
+         getHeardOrBuilderList() {
+      if (heardBuilder_ != null) {
+        return heardBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(heard_);
+      }
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public auburnhall.proto.peer.HeardProcess.Builder addHeardBuilder() {
+      return internalGetHeardFieldBuilder().addBuilder(
+          auburnhall.proto.peer.HeardProcess.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public auburnhall.proto.peer.HeardProcess.Builder addHeardBuilder(
+        int index) {
+      return internalGetHeardFieldBuilder().addBuilder(
+          index, auburnhall.proto.peer.HeardProcess.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+     */
+    public java.util.List<auburnhall.proto.peer.HeardProcess.Builder> 
+         getHeardBuilderList() {
+      return internalGetHeardFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        auburnhall.proto.peer.HeardProcess, auburnhall.proto.peer.HeardProcess.Builder, auburnhall.proto.peer.HeardProcessOrBuilder> 
+        internalGetHeardFieldBuilder() {
+      if (heardBuilder_ == null) {
+        heardBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            auburnhall.proto.peer.HeardProcess, auburnhall.proto.peer.HeardProcess.Builder, auburnhall.proto.peer.HeardProcessOrBuilder>(
+                heard_,
+                ((bitField0_ & 0x00000020) != 0),
+                getParentForChildren(),
+                isClean());
+        heard_ = null;
+      }
+      return heardBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:auburnhall.peer.HeartbeatReply)
   }
 
--- a/proto/src/main/java/auburnhall/proto/peer/HeartbeatReplyOrBuilder.java
+++ b/proto/src/main/java/auburnhall/proto/peer/HeartbeatReplyOrBuilder.java
@@ -24,7 +24,7 @@
 
   /**
    * <pre>
-   * Version of the configuration in force at the callee; 0 when it has none.
+   * Sequence number of the newest copy of the configuration that the callee has ever had; 0 when none.
    * </pre>
    *
    * <code>int64 config_version = 2;</code>
@@ -34,7 +34,7 @@
 
   /**
    * <pre>
-   * Time since the callee last read its version from the store, in milliseconds; -1 when never.
+   * Time since that copy was last confirmed to be the newest, in milliseconds; -1 when never.
    * </pre>
    *
    * <code>int64 store_age_ms = 3;</code>
@@ -59,4 +59,28 @@
    */
   com.google.protobuf.ByteString
       getDataCentreBytes();
+
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+   */
+  java.util.List<auburnhall.proto.peer.HeardProcess> 
+      getHeardList();
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+   */
+  auburnhall.proto.peer.HeardProcess getHeard(int index);
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+   */
+  int getHeardCount();
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+   */
+  java.util.List<? extends auburnhall.proto.peer.HeardProcessOrBuilder> 
+      getHeardOrBuilderList();
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 6;</code>
+   */
+  auburnhall.proto.peer.HeardProcessOrBuilder getHeardOrBuilder(
+      int index);
 }
--- a/proto/src/main/java/auburnhall/proto/peer/HeartbeatRequest.java
+++ b/proto/src/main/java/auburnhall/proto/peer/HeartbeatRequest.java
@@ -29,6 +29,7 @@
   }
   private HeartbeatRequest() {
     fromProcess_ = "";
+    heard_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -86,6 +87,10 @@
   public static final int CONFIG_VERSION_FIELD_NUMBER = 2;
   private long configVersion_ = 0L;
   /**
+   * <pre>
+   * Sequence number of the newest copy of the configuration that the caller has ever had; 0 when none.
+   * </pre>
+   *
    * <code>int64 config_version = 2;</code>
    * @return The configVersion.
    */
@@ -94,6 +99,58 @@
     return configVersion_;
   }
 
+  public static final int DRAINING_FIELD_NUMBER = 3;
+  private boolean draining_ = false;
+  /**
+   * <code>bool draining = 3;</code>
+   * @return The draining.
+   */
+  @java.lang.Override
+  public boolean getDraining() {
+    return draining_;
+  }
+
+  public static final int HEARD_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private java.util.List<auburnhall.proto.peer.HeardProcess> heard_;
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<auburnhall.proto.peer.HeardProcess> getHeardList() {
+    return heard_;
+  }
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends auburnhall.proto.peer.HeardProcessOrBuilder> 
+      getHeardOrBuilderList() {
+    return heard_;
+  }
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+   */
+  @java.lang.Override
+  public int getHeardCount() {
+    return heard_.size();
+  }
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+   */
+  @java.lang.Override
+  public auburnhall.proto.peer.HeardProcess getHeard(int index) {
+    return heard_.get(index);
+  }
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+   */
+  @java.lang.Override
+  public auburnhall.proto.peer.HeardProcessOrBuilder getHeardOrBuilder(
+      int index) {
+    return heard_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -114,6 +171,12 @@
     if (configVersion_ != 0L) {
       output.writeInt64(2, configVersion_);
     }
+    if (draining_ != false) {
+      output.writeBool(3, draining_);
+    }
+    for (int i = 0; i < heard_.size(); i++) {
+      output.writeMessage(4, heard_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -130,6 +193,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt64Size(2, configVersion_);
     }
+    if (draining_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(3, draining_);
+    }
+    for (int i = 0; i < heard_.size(); i++) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(4, heard_.get(i));
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -149,6 +220,10 @@
         .equals(other.getFromProcess())) return false;
     if (getConfigVersion()
         != other.getConfigVersion()) return false;
+    if (getDraining()
+        != other.getDraining()) return false;
+    if (!getHeardList()
+        .equals(other.getHeardList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -165,6 +240,13 @@
     hash = (37 * hash) + CONFIG_VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfigVersion());
+    hash = (37 * hash) + DRAINING_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getDraining());
+    if (getHeardCount() > 0) {
+      hash = (37 * hash) + HEARD_FIELD_NUMBER;
+      hash = (53 * hash) + getHeardList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -298,6 +380,14 @@
       bitField0_ = 0;
       fromProcess_ = "";
       configVersion_ = 0L;
+      draining_ = false;
+      if (heardBuilder_ == null) {
+        heard_ = java.util.Collections.emptyList();
+      } else {
+        heard_ = null;
+        heardBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000008);
       return this;
     }
 
@@ -324,11 +414,24 @@
     @java.lang.Override
     public auburnhall.proto.peer.HeartbeatRequest buildPartial() {
       auburnhall.proto.peer.HeartbeatRequest result = new auburnhall.proto.peer.HeartbeatRequest(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(auburnhall.proto.peer.HeartbeatRequest result) {
+      if (heardBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0)) {
+          heard_ = java.util.Collections.unmodifiableList(heard_);
+          bitField0_ = (bitField0_ & ~0x00000008);
+        }
+        result.heard_ = heard_;
+      } else {
+        result.heard_ = heardBuilder_.build();
+      }
+    }
+
     private void buildPartial0(auburnhall.proto.peer.HeartbeatRequest result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -337,6 +440,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.configVersion_ = configVersion_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.draining_ = draining_;
+      }
     }
 
     @java.lang.Override
@@ -359,6 +465,35 @@
       if (other.getConfigVersion() != 0L) {
         setConfigVersion(other.getConfigVersion());
       }
+      if (other.getDraining() != false) {
+        setDraining(other.getDraining());
+      }
+      if (heardBuilder_ == null) {
+        if (!other.heard_.isEmpty()) {
+          if (heard_.isEmpty()) {
+            heard_ = other.heard_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+          } else {
+            ensureHeardIsMutable();
+            heard_.addAll(other.heard_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.heard_.isEmpty()) {
+          if (heardBuilder_.isEmpty()) {
+            heardBuilder_.dispose();
+            heardBuilder_ = null;
+            heard_ = other.heard_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+            heardBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetHeardFieldBuilder() : null;
+          } else {
+            heardBuilder_.addAllMessages(other.heard_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -395,6 +530,24 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              draining_ = input.readBool();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 34: {
+              auburnhall.proto.peer.HeardProcess m =
+                  input.readMessage(
+                      auburnhall.proto.peer.HeardProcess.parser(),
+                      extensionRegistry);
+              if (heardBuilder_ == null) {
+                ensureHeardIsMutable();
+                heard_.add(m);
+              } else {
+                heardBuilder_.addMessage(m);
+              }
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -486,6 +639,10 @@
 
     private long configVersion_ ;
     /**
+     * <pre>
+     * Sequence number of the newest copy of the configuration that the caller has ever had; 0 when none.
+     * </pre>
+     *
      * <code>int64 config_version = 2;</code>
      * @return The configVersion.
      */
@@ -494,6 +651,10 @@
       return configVersion_;
     }
     /**
+     * <pre>
+     * Sequence number of the newest copy of the configuration that the caller has ever had; 0 when none.
+     * </pre>
+     *
      * <code>int64 config_version = 2;</code>
      * @param value The configVersion to set.
      * @return This builder for chaining.
@@ -506,6 +667,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Sequence number of the newest copy of the configuration that the caller has ever had; 0 when none.
+     * </pre>
+     *
      * <code>int64 config_version = 2;</code>
      * @return This builder for chaining.
      */
@@ -516,6 +681,278 @@
       return this;
     }
 
+    private boolean draining_ ;
+    /**
+     * <code>bool draining = 3;</code>
+     * @return The draining.
+     */
+    @java.lang.Override
+    public boolean getDraining() {
+      return draining_;
+    }
+    /**
+     * <code>bool draining = 3;</code>
+     * @param value The draining to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDraining(boolean value) {
+
+      draining_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>bool draining = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDraining() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      draining_ = false;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<auburnhall.proto.peer.HeardProcess> heard_ =
+      java.util.Collections.emptyList();
+    private void ensureHeardIsMutable() {
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        heard_ = new java.util.ArrayList<auburnhall.proto.peer.HeardProcess>(heard_);
+        bitField0_ |= 0x00000008;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        auburnhall.proto.peer.HeardProcess, auburnhall.proto.peer.HeardProcess.Builder, auburnhall.proto.peer.HeardProcessOrBuilder> heardBuilder_;
+
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public java.util.List<auburnhall.proto.peer.HeardProcess> getHeardList() {
+      if (heardBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(heard_);
+      } else {
+        return heardBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public int getHeardCount() {
+      if (heardBuilder_ == null) {
+        return heard_.size();
+      } else {
+        return heardBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public auburnhall.proto.peer.HeardProcess getHeard(int index) {
+      if (heardBuilder_ == null) {
+        return heard_.get(index);
+      } else {
+        return heardBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public Builder setHeard(
+        int index, auburnhall.proto.peer.HeardProcess value) {
+      if (heardBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureHeardIsMutable();
+        heard_.set(index, value);
+        onChanged();
+      } else {
+        heardBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public Builder setHeard(
+        int index, auburnhall.proto.peer.HeardProcess.Builder builderForValue) {
+      if (heardBuilder_ == null) {
+        ensureHeardIsMutable();
+        heard_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        heardBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public Builder addHeard(auburnhall.proto.peer.HeardProcess value) {
+      if (heardBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureHeardIsMutable();
+        heard_.add(value);
+        onChanged();
+      } else {
+        heardBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public Builder addHeard(
+        int index, auburnhall.proto.peer.HeardProcess value) {
+      if (heardBuilder_ == null) {
+        if (value == null) {
+          throw new NullPointerException();
+        }
+        ensureHeardIsMutable();
+        heard_.add(index, value);
+        onChanged();
+      } else {
+        heardBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public Builder addHeard(
+        auburnhall.proto.peer.HeardProcess.Builder builderForValue) {
+      if (heardBuilder_ == null) {
+        ensureHeardIsMutable();
+        heard_.add(builderForValue.build());
+        onChanged();
+      } else {
+        heardBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public Builder addHeard(
+        int index, auburnhall.proto.peer.HeardProcess.Builder builderForValue) {
+      if (heardBuilder_ == null) {
+        ensureHeardIsMutable();
+        heard_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        heardBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public Builder addAllHeard(
+        java.lang.Iterable<? extends auburnhall.proto.peer.HeardProcess> values) {
+      if (heardBuilder_ == null) {
+        ensureHeardIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, heard_);
+        onChanged();
+      } else {
+        heardBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public Builder clearHeard() {
+      if (heardBuilder_ == null) {
+        heard_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+      } else {
+        heardBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public Builder removeHeard(int index) {
+      if (heardBuilder_ == null) {
+        ensureHeardIsMutable();
+        heard_.remove(index);
+        onChanged();
+      } else {
+        heardBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public auburnhall.proto.peer.HeardProcess.Builder getHeardBuilder(
+        int index) {
+      return internalGetHeardFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public auburnhall.proto.peer.HeardProcessOrBuilder getHeardOrBuilder(
+        int index) {
+      if (heardBuilder_ == null) {
+        return heard_.get(index);  } else {
+        return heardBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public java.util.List<? extends auburnhall.proto.peer.HeardProcessOrBuilder> 
+         getHeardOrBuilderList() {
+      if (heardBuilder_ != null) {
+        return heardBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(heard_);
+      }
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public auburnhall.proto.peer.HeardProcess.Builder addHeardBuilder() {
+      return internalGetHeardFieldBuilder().addBuilder(
+          auburnhall.proto.peer.HeardProcess.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public auburnhall.proto.peer.HeardProcess.Builder addHeardBuilder(
+        int index) {
+      return internalGetHeardFieldBuilder().addBuilder(
+          index, auburnhall.proto.peer.HeardProcess.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+     */
+    public java.util.List<auburnhall.proto.peer.HeardProcess.Builder> 
+         getHeardBuilderList() {
+      return internalGetHeardFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        auburnhall.proto.peer.HeardProcess, auburnhall.proto.peer.HeardProcess.Builder, auburnhall.proto.peer.HeardProcessOrBuilder> 
+        internalGetHeardFieldBuilder() {
+      if (heardBuilder_ == null) {
+        heardBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            auburnhall.proto.peer.HeardProcess, auburnhall.proto.peer.HeardProcess.Builder, auburnhall.proto.peer.HeardProcessOrBuilder>(
+                heard_,
+                ((bitField0_ & 0x00000008) != 0),
+                getParentForChildren(),
+                isClean());
+        heard_ = null;
+      }
+      return heardBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:auburnhall.peer.HeartbeatRequest)
   }
 
--- a/proto/src/main/java/auburnhall/proto/peer/HeartbeatRequestOrBuilder.java
+++ b/proto/src/main/java/auburnhall/proto/peer/HeartbeatRequestOrBuilder.java
@@ -23,8 +23,42 @@
       getFromProcessBytes();
 
   /**
+   * <pre>
+   * Sequence number of the newest copy of the configuration that the caller has ever had; 0 when none.
+   * </pre>
+   *
    * <code>int64 config_version = 2;</code>
    * @return The configVersion.
    */
   long getConfigVersion();
+
+  /**
+   * <code>bool draining = 3;</code>
+   * @return The draining.
+   */
+  boolean getDraining();
+
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+   */
+  java.util.List<auburnhall.proto.peer.HeardProcess> 
+      getHeardList();
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+   */
+  auburnhall.proto.peer.HeardProcess getHeard(int index);
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+   */
+  int getHeardCount();
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+   */
+  java.util.List<? extends auburnhall.proto.peer.HeardProcessOrBuilder> 
+      getHeardOrBuilderList();
+  /**
+   * <code>repeated .auburnhall.peer.HeardProcess heard = 4;</code>
+   */
+  auburnhall.proto.peer.HeardProcessOrBuilder getHeardOrBuilder(
+      int index);
 }
--- a/proto/src/main/java/auburnhall/proto/peer/PeerOuterClass.java
+++ b/proto/src/main/java/auburnhall/proto/peer/PeerOuterClass.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_auburnhall_peer_HeartbeatRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_auburnhall_peer_HeardProcess_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_auburnhall_peer_HeardProcess_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_auburnhall_peer_HeartbeatReply_descriptor;
   static final 
@@ -135,77 +140,81 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\017auburnhall.peer\"@\n\020Heartbe" +
-      "atRequest\022\024\n\014from_process\030\001 \001(\t\022\026\n\016confi" +
-      "g_version\030\002 \001(\003\"v\n\016HeartbeatReply\022\017\n\007pro" +
-      "cess\030\001 \001(\t\022\026\n\016config_version\030\002 \001(\003\022\024\n\014st" +
-      "ore_age_ms\030\003 \001(\003\022\020\n\010draining\030\004 \001(\010\022\023\n\013da" +
-      "ta_centre\030\005 \001(\t\"\024\n\022FetchConfigRequest\"R\n" +
-      "\020FetchConfigReply\022\026\n\016config_version\030\001 \001(" +
-      "\003\022\024\n\014store_age_ms\030\002 \001(\003\022\020\n\010document\030\003 \001(" +
-      "\014\"\'\n\020WatchLoadRequest\022\023\n\013data_centre\030\001 \001" +
-      "(\t\"e\n\nLoadReport\022\023\n\013data_centre\030\001 \001(\t\022\022\n" +
-      "\ncontroller\030\002 \001(\010\022.\n\010replicas\030\003 \003(\0132\034.au" +
-      "burnhall.peer.ReplicaLoad\"\362\001\n\013ReplicaLoa" +
-      "d\022\017\n\007replica\030\001 \001(\t\022\022\n\ngeneration\030\002 \001(\003\022\027" +
-      "\n\017presence_age_ms\030\003 \001(\003\022\017\n\007running\030\004 \001(\005" +
-      "\022\016\n\006queued\030\005 \001(\005\022\020\n\010capacity\030\006 \001(\005\022\020\n\010dr" +
-      "aining\030\007 \001(\010\022\031\n\021tokens_per_second\030\010 \001(\005\022" +
-      "\027\n\017accepts_fencing\030\t \001(\010\022\026\n\016leader_addre" +
-      "ss\030\n \001(\t\022\024\n\010prefixes\030\013 \003(\007B\002\020\001\"U\n\023Borrow" +
-      "SharesRequest\022\017\n\007process\030\001 \001(\t\022-\n\007demand" +
-      "s\030\002 \003(\0132\034.auburnhall.peer.ShareDemand\"U\n" +
-      "\013ShareDemand\022\020\n\010customer\030\001 \001(\t\022\020\n\010reques" +
-      "ts\030\002 \001(\001\022\016\n\006tokens\030\003 \001(\001\022\022\n\nconcurrent\030\004" +
-      " \001(\005\"@\n\021BorrowSharesReply\022+\n\006grants\030\001 \003(" +
-      "\0132\033.auburnhall.peer.ShareGrant\"f\n\nShareG" +
-      "rant\022\020\n\010customer\030\001 \001(\t\022\020\n\010requests\030\002 \001(\001" +
-      "\022\016\n\006tokens\030\003 \001(\001\022\022\n\nconcurrent\030\004 \001(\005\022\020\n\010" +
-      "valid_ms\030\005 \001(\003\"{\n\024ReserveIntentRequest\022\017" +
-      "\n\007process\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017ide" +
-      "mpotency_key\030\003 \001(\t\022\023\n\013body_digest\030\004 \001(\t\022" +
-      "\022\n\nrequest_id\030\005 \001(\t\"\270\002\n\022ReserveIntentRep" +
-      "ly\0228\n\005state\030\001 \001(\0162).auburnhall.peer.Rese" +
-      "rveIntentReply.State\022\032\n\022dispatch_within_" +
-      "ms\030\002 \001(\003\022/\n\006answer\030\003 \001(\0132\037.auburnhall.pe" +
-      "er.RecordedAnswer\022\030\n\020first_request_id\030\004 " +
-      "\001(\t\022\016\n\006reason\030\005 \001(\t\"q\n\005State\022\017\n\013UNAVAILA" +
-      "BLE\020\000\022\013\n\007GRANTED\020\001\022\017\n\013IN_PROGRESS\020\002\022\020\n\014M" +
-      "AY_HAVE_RUN\020\003\022\010\n\004DONE\020\004\022\016\n\nKEY_REUSED\020\005\022" +
-      "\r\n\tNOT_OWNER\020\006\"D\n\016RecordedAnswer\022\016\n\006stat" +
-      "us\030\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003" +
-      " \001(\014\"\374\001\n\025CompleteIntentRequest\022\020\n\010custom" +
-      "er\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\022\n\nreq" +
-      "uest_id\030\003 \001(\t\022?\n\007outcome\030\004 \001(\0162..auburnh" +
-      "all.peer.CompleteIntentRequest.Outcome\022/" +
-      "\n\006answer\030\005 \001(\0132\037.auburnhall.peer.Recorde" +
-      "dAnswer\"2\n\007Outcome\022\013\n\007NOT_RUN\020\000\022\020\n\014MAY_H" +
-      "AVE_RUN\020\001\022\010\n\004DONE\020\002\"7\n\023CompleteIntentRep" +
-      "ly\022\020\n\010recorded\030\001 \001(\010\022\016\n\006reason\030\002 \001(\t\"*\n\027" +
-      "KeepExplanationsRequest\022\017\n\007records\030\001 \003(\014" +
-      "\"\027\n\025KeepExplanationsReply\",\n\026FindExplana" +
-      "tionRequest\022\022\n\nrequest_id\030\001 \001(\t\"\'\n\024FindE" +
-      "xplanationReply\022\017\n\007records\030\001 \003(\0142\335\005\n\004Pee" +
-      "r\022O\n\tHeartbeat\022!.auburnhall.peer.Heartbe" +
-      "atRequest\032\037.auburnhall.peer.HeartbeatRep" +
-      "ly\022U\n\013FetchConfig\022#.auburnhall.peer.Fetc" +
-      "hConfigRequest\032!.auburnhall.peer.FetchCo" +
-      "nfigReply\022M\n\tWatchLoad\022!.auburnhall.peer" +
-      ".WatchLoadRequest\032\033.auburnhall.peer.Load" +
-      "Report0\001\022X\n\014BorrowShares\022$.auburnhall.pe" +
-      "er.BorrowSharesRequest\032\".auburnhall.peer" +
-      ".BorrowSharesReply\022[\n\rReserveIntent\022%.au" +
-      "burnhall.peer.ReserveIntentRequest\032#.aub" +
-      "urnhall.peer.ReserveIntentReply\022^\n\016Compl" +
-      "eteIntent\022&.auburnhall.peer.CompleteInte" +
-      "ntRequest\032$.auburnhall.peer.CompleteInte" +
-      "ntReply\022d\n\020KeepExplanations\022(.auburnhall" +
-      ".peer.KeepExplanationsRequest\032&.auburnha" +
-      "ll.peer.KeepExplanationsReply\022a\n\017FindExp" +
-      "lanation\022\'.auburnhall.peer.FindExplanati" +
-      "onRequest\032%.auburnhall.peer.FindExplanat" +
-      "ionReplyB\031\n\025auburnhall.proto.peerP\001b\006pro" +
-      "to3"
+      "\n\npeer.proto\022\017auburnhall.peer\"\200\001\n\020Heartb" +
+      "eatRequest\022\024\n\014from_process\030\001 \001(\t\022\026\n\016conf" +
+      "ig_version\030\002 \001(\003\022\020\n\010draining\030\003 \001(\010\022,\n\005he" +
+      "ard\030\004 \003(\0132\035.auburnhall.peer.HeardProcess" +
+      "\"A\n\014HeardProcess\022\017\n\007process\030\001 \001(\t\022\016\n\006age" +
+      "_ms\030\002 \001(\003\022\020\n\010draining\030\003 \001(\010\"\244\001\n\016Heartbea" +
+      "tReply\022\017\n\007process\030\001 \001(\t\022\026\n\016config_versio" +
+      "n\030\002 \001(\003\022\024\n\014store_age_ms\030\003 \001(\003\022\020\n\010drainin" +
+      "g\030\004 \001(\010\022\023\n\013data_centre\030\005 \001(\t\022,\n\005heard\030\006 " +
+      "\003(\0132\035.auburnhall.peer.HeardProcess\"\024\n\022Fe" +
+      "tchConfigRequest\"R\n\020FetchConfigReply\022\026\n\016" +
+      "config_version\030\001 \001(\003\022\024\n\014store_age_ms\030\002 \001" +
+      "(\003\022\020\n\010document\030\003 \001(\014\"\'\n\020WatchLoadRequest" +
+      "\022\023\n\013data_centre\030\001 \001(\t\"e\n\nLoadReport\022\023\n\013d" +
+      "ata_centre\030\001 \001(\t\022\022\n\ncontroller\030\002 \001(\010\022.\n\010" +
+      "replicas\030\003 \003(\0132\034.auburnhall.peer.Replica" +
+      "Load\"\362\001\n\013ReplicaLoad\022\017\n\007replica\030\001 \001(\t\022\022\n" +
+      "\ngeneration\030\002 \001(\003\022\027\n\017presence_age_ms\030\003 \001" +
+      "(\003\022\017\n\007running\030\004 \001(\005\022\016\n\006queued\030\005 \001(\005\022\020\n\010c" +
+      "apacity\030\006 \001(\005\022\020\n\010draining\030\007 \001(\010\022\031\n\021token" +
+      "s_per_second\030\010 \001(\005\022\027\n\017accepts_fencing\030\t " +
+      "\001(\010\022\026\n\016leader_address\030\n \001(\t\022\024\n\010prefixes\030" +
+      "\013 \003(\007B\002\020\001\"U\n\023BorrowSharesRequest\022\017\n\007proc" +
+      "ess\030\001 \001(\t\022-\n\007demands\030\002 \003(\0132\034.auburnhall." +
+      "peer.ShareDemand\"U\n\013ShareDemand\022\020\n\010custo" +
+      "mer\030\001 \001(\t\022\020\n\010requests\030\002 \001(\001\022\016\n\006tokens\030\003 " +
+      "\001(\001\022\022\n\nconcurrent\030\004 \001(\005\"@\n\021BorrowSharesR" +
+      "eply\022+\n\006grants\030\001 \003(\0132\033.auburnhall.peer.S" +
+      "hareGrant\"f\n\nShareGrant\022\020\n\010customer\030\001 \001(" +
+      "\t\022\020\n\010requests\030\002 \001(\001\022\016\n\006tokens\030\003 \001(\001\022\022\n\nc" +
+      "oncurrent\030\004 \001(\005\022\020\n\010valid_ms\030\005 \001(\003\"{\n\024Res" +
+      "erveIntentRequest\022\017\n\007process\030\001 \001(\t\022\020\n\010cu" +
+      "stomer\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\023\n" +
+      "\013body_digest\030\004 \001(\t\022\022\n\nrequest_id\030\005 \001(\t\"\270" +
+      "\002\n\022ReserveIntentReply\0228\n\005state\030\001 \001(\0162).a" +
+      "uburnhall.peer.ReserveIntentReply.State\022" +
+      "\032\n\022dispatch_within_ms\030\002 \001(\003\022/\n\006answer\030\003 " +
+      "\001(\0132\037.auburnhall.peer.RecordedAnswer\022\030\n\020" +
+      "first_request_id\030\004 \001(\t\022\016\n\006reason\030\005 \001(\t\"q" +
+      "\n\005State\022\017\n\013UNAVAILABLE\020\000\022\013\n\007GRANTED\020\001\022\017\n" +
+      "\013IN_PROGRESS\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\010\n\004DONE" +
+      "\020\004\022\016\n\nKEY_REUSED\020\005\022\r\n\tNOT_OWNER\020\006\"D\n\016Rec" +
+      "ordedAnswer\022\016\n\006status\030\001 \001(\005\022\024\n\014content_t" +
+      "ype\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\374\001\n\025CompleteInte" +
+      "ntRequest\022\020\n\010customer\030\001 \001(\t\022\027\n\017idempoten" +
+      "cy_key\030\002 \001(\t\022\022\n\nrequest_id\030\003 \001(\t\022?\n\007outc" +
+      "ome\030\004 \001(\0162..auburnhall.peer.CompleteInte" +
+      "ntRequest.Outcome\022/\n\006answer\030\005 \001(\0132\037.aubu" +
+      "rnhall.peer.RecordedAnswer\"2\n\007Outcome\022\013\n" +
+      "\007NOT_RUN\020\000\022\020\n\014MAY_HAVE_RUN\020\001\022\010\n\004DONE\020\002\"7" +
+      "\n\023CompleteIntentReply\022\020\n\010recorded\030\001 \001(\010\022" +
+      "\016\n\006reason\030\002 \001(\t\"*\n\027KeepExplanationsReque" +
+      "st\022\017\n\007records\030\001 \003(\014\"\027\n\025KeepExplanationsR" +
+      "eply\",\n\026FindExplanationRequest\022\022\n\nreques" +
+      "t_id\030\001 \001(\t\"\'\n\024FindExplanationReply\022\017\n\007re" +
+      "cords\030\001 \003(\0142\335\005\n\004Peer\022O\n\tHeartbeat\022!.aubu" +
+      "rnhall.peer.HeartbeatRequest\032\037.auburnhal" +
+      "l.peer.HeartbeatReply\022U\n\013FetchConfig\022#.a" +
+      "uburnhall.peer.FetchConfigRequest\032!.aubu" +
+      "rnhall.peer.FetchConfigReply\022M\n\tWatchLoa" +
+      "d\022!.auburnhall.peer.WatchLoadRequest\032\033.a" +
+      "uburnhall.peer.LoadReport0\001\022X\n\014BorrowSha" +
+      "res\022$.auburnhall.peer.BorrowSharesReques" +
+      "t\032\".auburnhall.peer.BorrowSharesReply\022[\n" +
+      "\rReserveIntent\022%.auburnhall.peer.Reserve" +
+      "IntentRequest\032#.auburnhall.peer.ReserveI" +
+      "ntentReply\022^\n\016CompleteIntent\022&.auburnhal" +
+      "l.peer.CompleteIntentRequest\032$.auburnhal" +
+      "l.peer.CompleteIntentReply\022d\n\020KeepExplan" +
+      "ations\022(.auburnhall.peer.KeepExplanation" +
+      "sRequest\032&.auburnhall.peer.KeepExplanati" +
+      "onsReply\022a\n\017FindExplanation\022\'.auburnhall" +
+      ".peer.FindExplanationRequest\032%.auburnhal" +
+      "l.peer.FindExplanationReplyB\031\n\025auburnhal" +
+      "l.proto.peerP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -216,117 +225,123 @@
     internal_static_auburnhall_peer_HeartbeatRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_HeartbeatRequest_descriptor,
-        new java.lang.String[] { "FromProcess", "ConfigVersion", });
-    internal_static_auburnhall_peer_HeartbeatReply_descriptor =
+        new java.lang.String[] { "FromProcess", "ConfigVersion", "Draining", "Heard", });
+    internal_static_auburnhall_peer_HeardProcess_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_auburnhall_peer_HeardProcess_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_auburnhall_peer_HeardProcess_descriptor,
+        new java.lang.String[] { "Process", "AgeMs", "Draining", });
+    internal_static_auburnhall_peer_HeartbeatReply_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_auburnhall_peer_HeartbeatReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_HeartbeatReply_descriptor,
-        new java.lang.String[] { "Process", "ConfigVersion", "StoreAgeMs", "Draining", "DataCentre", });
+        new java.lang.String[] { "Process", "ConfigVersion", "StoreAgeMs", "Draining", "DataCentre", "Heard", });
     internal_static_auburnhall_peer_FetchConfigRequest_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_auburnhall_peer_FetchConfigRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_FetchConfigRequest_descriptor,
         new java.lang.String[] { });
     internal_static_auburnhall_peer_FetchConfigReply_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_auburnhall_peer_FetchConfigReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_FetchConfigReply_descriptor,
         new java.lang.String[] { "ConfigVersion", "StoreAgeMs", "Document", });
     internal_static_auburnhall_peer_WatchLoadRequest_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_auburnhall_peer_WatchLoadRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_WatchLoadRequest_descriptor,
         new java.lang.String[] { "DataCentre", });
     internal_static_auburnhall_peer_LoadReport_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_auburnhall_peer_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_LoadReport_descriptor,
         new java.lang.String[] { "DataCentre", "Controller", "Replicas", });
     internal_static_auburnhall_peer_ReplicaLoad_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_auburnhall_peer_ReplicaLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_ReplicaLoad_descriptor,
         new java.lang.String[] { "Replica", "Generation", "PresenceAgeMs", "Running", "Queued", "Capacity", "Draining", "TokensPerSecond", "AcceptsFencing", "LeaderAddress", "Prefixes", });
     internal_static_auburnhall_peer_BorrowSharesRequest_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_auburnhall_peer_BorrowSharesRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_BorrowSharesRequest_descriptor,
         new java.lang.String[] { "Process", "Demands", });
     internal_static_auburnhall_peer_ShareDemand_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_auburnhall_peer_ShareDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_ShareDemand_descriptor,
         new java.lang.String[] { "Customer", "Requests", "Tokens", "Concurrent", });
     internal_static_auburnhall_peer_BorrowSharesReply_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_auburnhall_peer_BorrowSharesReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_BorrowSharesReply_descriptor,
         new java.lang.String[] { "Grants", });
     internal_static_auburnhall_peer_ShareGrant_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_auburnhall_peer_ShareGrant_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_ShareGrant_descriptor,
         new java.lang.String[] { "Customer", "Requests", "Tokens", "Concurrent", "ValidMs", });
     internal_static_auburnhall_peer_ReserveIntentRequest_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_auburnhall_peer_ReserveIntentRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_ReserveIntentRequest_descriptor,
         new java.lang.String[] { "Process", "Customer", "IdempotencyKey", "BodyDigest", "RequestId", });
     internal_static_auburnhall_peer_ReserveIntentReply_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_auburnhall_peer_ReserveIntentReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_ReserveIntentReply_descriptor,
         new java.lang.String[] { "State", "DispatchWithinMs", "Answer", "FirstRequestId", "Reason", });
     internal_static_auburnhall_peer_RecordedAnswer_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_auburnhall_peer_RecordedAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_RecordedAnswer_descriptor,
         new java.lang.String[] { "Status", "ContentType", "Body", });
     internal_static_auburnhall_peer_CompleteIntentRequest_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_auburnhall_peer_CompleteIntentRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_CompleteIntentRequest_descriptor,
         new java.lang.String[] { "Customer", "IdempotencyKey", "RequestId", "Outcome", "Answer", });
     internal_static_auburnhall_peer_CompleteIntentReply_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_auburnhall_peer_CompleteIntentReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_CompleteIntentReply_descriptor,
         new java.lang.String[] { "Recorded", "Reason", });
     internal_static_auburnhall_peer_KeepExplanationsRequest_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_auburnhall_peer_KeepExplanationsRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_KeepExplanationsRequest_descriptor,
         new java.lang.String[] { "Records", });
     internal_static_auburnhall_peer_KeepExplanationsReply_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_auburnhall_peer_KeepExplanationsReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_KeepExplanationsReply_descriptor,
         new java.lang.String[] { });
     internal_static_auburnhall_peer_FindExplanationRequest_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_auburnhall_peer_FindExplanationRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_FindExplanationRequest_descriptor,
         new java.lang.String[] { "RequestId", });
     internal_static_auburnhall_peer_FindExplanationReply_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_auburnhall_peer_FindExplanationReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_FindExplanationReply_descriptor,
