--- a/proto/src/main/java/auburnhall/proto/peer/PeerOuterClass.java
+++ b/proto/src/main/java/auburnhall/proto/peer/PeerOuterClass.java
@@ -154,58 +154,58 @@
       "\027\n\017accepts_fencing\030\t \001(\010\022\026\n\016leader_addre" +
       "ss\030\n \001(\t\022\024\n\010prefixes\030\013 \003(\007B\002\020\001\"U\n\023Borrow" +
       "SharesRequest\022\017\n\007process\030\001 \001(\t\022-\n\007demand" +
-      "s\030\002 \003(\0132\034.auburnhall.peer.ShareDemand\"U\n" +
+      "s\030\002 \003(\0132\034.auburnhall.peer.ShareDemand\"j\n" +
       "\013ShareDemand\022\020\n\010customer\030\001 \001(\t\022\020\n\010reques" +
       "ts\030\002 \001(\001\022\016\n\006tokens\030\003 \001(\001\022\022\n\nconcurrent\030\004" +
-      " \001(\005\"@\n\021BorrowSharesReply\022+\n\006grants\030\001 \003(" +
-      "\0132\033.auburnhall.peer.ShareGrant\"f\n\nShareG" +
-      "rant\022\020\n\010customer\030\001 \001(\t\022\020\n\010requests\030\002 \001(\001" +
-      "\022\016\n\006tokens\030\003 \001(\001\022\022\n\nconcurrent\030\004 \001(\005\022\020\n\010" +
-      "valid_ms\030\005 \001(\003\"{\n\024ReserveIntentRequest\022\017" +
-      "\n\007process\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017ide" +
-      "mpotency_key\030\003 \001(\t\022\023\n\013body_digest\030\004 \001(\t\022" +
-      "\022\n\nrequest_id\030\005 \001(\t\"\270\002\n\022ReserveIntentRep" +
-      "ly\0228\n\005state\030\001 \001(\0162).auburnhall.peer.Rese" +
-      "rveIntentReply.State\022\032\n\022dispatch_within_" +
-      "ms\030\002 \001(\003\022/\n\006answer\030\003 \001(\0132\037.auburnhall.pe" +
-      "er.RecordedAnswer\022\030\n\020first_request_id\030\004 " +
-      "\001(\t\022\016\n\006reason\030\005 \001(\t\"q\n\005State\022\017\n\013UNAVAILA" +
-      "BLE\020\000\022\013\n\007GRANTED\020\001\022\017\n\013IN_PROGRESS\020\002\022\020\n\014M" +
-      "AY_HAVE_RUN\020\003\022\010\n\004DONE\020\004\022\016\n\nKEY_REUSED\020\005\022" +
-      "\r\n\tNOT_OWNER\020\006\"D\n\016RecordedAnswer\022\016\n\006stat" +
-      "us\030\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003" +
-      " \001(\014\"\374\001\n\025CompleteIntentRequest\022\020\n\010custom" +
-      "er\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\022\n\nreq" +
-      "uest_id\030\003 \001(\t\022?\n\007outcome\030\004 \001(\0162..auburnh" +
-      "all.peer.CompleteIntentRequest.Outcome\022/" +
-      "\n\006answer\030\005 \001(\0132\037.auburnhall.peer.Recorde" +
-      "dAnswer\"2\n\007Outcome\022\013\n\007NOT_RUN\020\000\022\020\n\014MAY_H" +
-      "AVE_RUN\020\001\022\010\n\004DONE\020\002\"7\n\023CompleteIntentRep" +
-      "ly\022\020\n\010recorded\030\001 \001(\010\022\016\n\006reason\030\002 \001(\t\"*\n\027" +
-      "KeepExplanationsRequest\022\017\n\007records\030\001 \003(\014" +
-      "\"\027\n\025KeepExplanationsReply\",\n\026FindExplana" +
-      "tionRequest\022\022\n\nrequest_id\030\001 \001(\t\"\'\n\024FindE" +
-      "xplanationReply\022\017\n\007records\030\001 \003(\0142\335\005\n\004Pee" +
-      "r\022O\n\tHeartbeat\022!.auburnhall.peer.Heartbe" +
-      "atRequest\032\037.auburnhall.peer.HeartbeatRep" +
-      "ly\022U\n\013FetchConfig\022#.auburnhall.peer.Fetc" +
-      "hConfigRequest\032!.auburnhall.peer.FetchCo" +
-      "nfigReply\022M\n\tWatchLoad\022!.auburnhall.peer" +
-      ".WatchLoadRequest\032\033.auburnhall.peer.Load" +
-      "Report0\001\022X\n\014BorrowShares\022$.auburnhall.pe" +
-      "er.BorrowSharesRequest\032\".auburnhall.peer" +
-      ".BorrowSharesReply\022[\n\rReserveIntent\022%.au" +
-      "burnhall.peer.ReserveIntentRequest\032#.aub" +
-      "urnhall.peer.ReserveIntentReply\022^\n\016Compl" +
-      "eteIntent\022&.auburnhall.peer.CompleteInte" +
-      "ntRequest\032$.auburnhall.peer.CompleteInte" +
-      "ntReply\022d\n\020KeepExplanations\022(.auburnhall" +
-      ".peer.KeepExplanationsRequest\032&.auburnha" +
-      "ll.peer.KeepExplanationsReply\022a\n\017FindExp" +
-      "lanation\022\'.auburnhall.peer.FindExplanati" +
-      "onRequest\032%.auburnhall.peer.FindExplanat" +
-      "ionReplyB\031\n\025auburnhall.proto.peerP\001b\006pro" +
-      "to3"
+      " \001(\005\022\023\n\013in_progress\030\005 \001(\005\"@\n\021BorrowShare" +
+      "sReply\022+\n\006grants\030\001 \003(\0132\033.auburnhall.peer" +
+      ".ShareGrant\"f\n\nShareGrant\022\020\n\010customer\030\001 " +
+      "\001(\t\022\020\n\010requests\030\002 \001(\001\022\016\n\006tokens\030\003 \001(\001\022\022\n" +
+      "\nconcurrent\030\004 \001(\005\022\020\n\010valid_ms\030\005 \001(\003\"{\n\024R" +
+      "eserveIntentRequest\022\017\n\007process\030\001 \001(\t\022\020\n\010" +
+      "customer\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022" +
+      "\023\n\013body_digest\030\004 \001(\t\022\022\n\nrequest_id\030\005 \001(\t" +
+      "\"\270\002\n\022ReserveIntentReply\0228\n\005state\030\001 \001(\0162)" +
+      ".auburnhall.peer.ReserveIntentReply.Stat" +
+      "e\022\032\n\022dispatch_within_ms\030\002 \001(\003\022/\n\006answer\030" +
+      "\003 \001(\0132\037.auburnhall.peer.RecordedAnswer\022\030" +
+      "\n\020first_request_id\030\004 \001(\t\022\016\n\006reason\030\005 \001(\t" +
+      "\"q\n\005State\022\017\n\013UNAVAILABLE\020\000\022\013\n\007GRANTED\020\001\022" +
+      "\017\n\013IN_PROGRESS\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\010\n\004DO" +
+      "NE\020\004\022\016\n\nKEY_REUSED\020\005\022\r\n\tNOT_OWNER\020\006\"D\n\016R" +
+      "ecordedAnswer\022\016\n\006status\030\001 \001(\005\022\024\n\014content" +
+      "_type\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\374\001\n\025CompleteIn" +
+      "tentRequest\022\020\n\010customer\030\001 \001(\t\022\027\n\017idempot" +
+      "ency_key\030\002 \001(\t\022\022\n\nrequest_id\030\003 \001(\t\022?\n\007ou" +
+      "tcome\030\004 \001(\0162..auburnhall.peer.CompleteIn" +
+      "tentRequest.Outcome\022/\n\006answer\030\005 \001(\0132\037.au" +
+      "burnhall.peer.RecordedAnswer\"2\n\007Outcome\022" +
+      "\013\n\007NOT_RUN\020\000\022\020\n\014MAY_HAVE_RUN\020\001\022\010\n\004DONE\020\002" +
+      "\"7\n\023CompleteIntentReply\022\020\n\010recorded\030\001 \001(" +
+      "\010\022\016\n\006reason\030\002 \001(\t\"*\n\027KeepExplanationsReq" +
+      "uest\022\017\n\007records\030\001 \003(\014\"\027\n\025KeepExplanation" +
+      "sReply\",\n\026FindExplanationRequest\022\022\n\nrequ" +
+      "est_id\030\001 \001(\t\"\'\n\024FindExplanationReply\022\017\n\007" +
+      "records\030\001 \003(\0142\335\005\n\004Peer\022O\n\tHeartbeat\022!.au" +
+      "burnhall.peer.HeartbeatRequest\032\037.auburnh" +
+      "all.peer.HeartbeatReply\022U\n\013FetchConfig\022#" +
+      ".auburnhall.peer.FetchConfigRequest\032!.au" +
+      "burnhall.peer.FetchConfigReply\022M\n\tWatchL" +
+      "oad\022!.auburnhall.peer.WatchLoadRequest\032\033" +
+      ".auburnhall.peer.LoadReport0\001\022X\n\014BorrowS" +
+      "hares\022$.auburnhall.peer.BorrowSharesRequ" +
+      "est\032\".auburnhall.peer.BorrowSharesReply\022" +
+      "[\n\rReserveIntent\022%.auburnhall.peer.Reser" +
+      "veIntentRequest\032#.auburnhall.peer.Reserv" +
+      "eIntentReply\022^\n\016CompleteIntent\022&.auburnh" +
+      "all.peer.CompleteIntentRequest\032$.auburnh" +
+      "all.peer.CompleteIntentReply\022d\n\020KeepExpl" +
+      "anations\022(.auburnhall.peer.KeepExplanati" +
+      "onsRequest\032&.auburnhall.peer.KeepExplana" +
+      "tionsReply\022a\n\017FindExplanation\022\'.auburnha" +
+      "ll.peer.FindExplanationRequest\032%.auburnh" +
+      "all.peer.FindExplanationReplyB\031\n\025auburnh" +
+      "all.proto.peerP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -264,7 +264,7 @@
     internal_static_auburnhall_peer_ShareDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_ShareDemand_descriptor,
-        new java.lang.String[] { "Customer", "Requests", "Tokens", "Concurrent", });
+        new java.lang.String[] { "Customer", "Requests", "Tokens", "Concurrent", "InProgress", });
     internal_static_auburnhall_peer_BorrowSharesReply_descriptor =
       getDescriptor().getMessageType(9);
     internal_static_auburnhall_peer_BorrowSharesReply_fieldAccessorTable = new
--- a/proto/src/main/java/auburnhall/proto/peer/ShareDemand.java
+++ b/proto/src/main/java/auburnhall/proto/peer/ShareDemand.java
@@ -128,6 +128,21 @@
     return concurrent_;
   }
 
+  public static final int IN_PROGRESS_FIELD_NUMBER = 5;
+  private int inProgress_ = 0;
+  /**
+   * <pre>
+   * Concurrent requests in progress at the borrower.
+   * </pre>
+   *
+   * <code>int32 in_progress = 5;</code>
+   * @return The inProgress.
+   */
+  @java.lang.Override
+  public int getInProgress() {
+    return inProgress_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -154,6 +169,9 @@
     if (concurrent_ != 0) {
       output.writeInt32(4, concurrent_);
     }
+    if (inProgress_ != 0) {
+      output.writeInt32(5, inProgress_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -178,6 +196,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeInt32Size(4, concurrent_);
     }
+    if (inProgress_ != 0) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt32Size(5, inProgress_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -203,6 +225,8 @@
             other.getTokens())) return false;
     if (getConcurrent()
         != other.getConcurrent()) return false;
+    if (getInProgress()
+        != other.getInProgress()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -224,6 +248,8 @@
         java.lang.Double.doubleToLongBits(getTokens()));
     hash = (37 * hash) + CONCURRENT_FIELD_NUMBER;
     hash = (53 * hash) + getConcurrent();
+    hash = (37 * hash) + IN_PROGRESS_FIELD_NUMBER;
+    hash = (53 * hash) + getInProgress();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -359,6 +385,7 @@
       requests_ = 0D;
       tokens_ = 0D;
       concurrent_ = 0;
+      inProgress_ = 0;
       return this;
     }
 
@@ -404,6 +431,9 @@
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.concurrent_ = concurrent_;
       }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.inProgress_ = inProgress_;
+      }
     }
 
     @java.lang.Override
@@ -432,6 +462,9 @@
       if (other.getConcurrent() != 0) {
         setConcurrent(other.getConcurrent());
       }
+      if (other.getInProgress() != 0) {
+        setInProgress(other.getInProgress());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -478,6 +511,11 @@
               bitField0_ |= 0x00000008;
               break;
             } // case 32
+            case 40: {
+              inProgress_ = input.readInt32();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 40
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -699,6 +737,50 @@
       return this;
     }
 
+    private int inProgress_ ;
+    /**
+     * <pre>
+     * Concurrent requests in progress at the borrower.
+     * </pre>
+     *
+     * <code>int32 in_progress = 5;</code>
+     * @return The inProgress.
+     */
+    @java.lang.Override
+    public int getInProgress() {
+      return inProgress_;
+    }
+    /**
+     * <pre>
+     * Concurrent requests in progress at the borrower.
+     * </pre>
+     *
+     * <code>int32 in_progress = 5;</code>
+     * @param value The inProgress to set.
+     * @return This builder for chaining.
+     */
+    public Builder setInProgress(int value) {
+
+      inProgress_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Concurrent requests in progress at the borrower.
+     * </pre>
+     *
+     * <code>int32 in_progress = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearInProgress() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      inProgress_ = 0;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:auburnhall.peer.ShareDemand)
   }
 
--- a/proto/src/main/java/auburnhall/proto/peer/ShareDemandOrBuilder.java
+++ b/proto/src/main/java/auburnhall/proto/peer/ShareDemandOrBuilder.java
@@ -51,4 +51,14 @@
    * @return The concurrent.
    */
   int getConcurrent();
+
+  /**
+   * <pre>
+   * Concurrent requests in progress at the borrower.
+   * </pre>
+   *
+   * <code>int32 in_progress = 5;</code>
+   * @return The inProgress.
+   */
+  int getInProgress();
 }
