Let an unavailable ledger say whether an earlier call may have run

Cause: a refusal of a retry whose first call was passed on must not say that the order did not run, and only the ledger can know. The default is the safe one; a ledger that is certain of a new key says NOT_RUN.

--- a/ledger/src/main/kotlin/auburnhall/ledger/Ledger.kt
+++ b/ledger/src/main/kotlin/auburnhall/ledger/Ledger.kt
@@ -6,6 +6,7 @@
 import auburnhall.core.CustomerId
 import auburnhall.core.Deadline
 import auburnhall.core.RequestId
+import auburnhall.core.RunState
 import auburnhall.core.StepError
 
 /** A call that may not be repeated. [bodyDigest] is the SHA-256 of method, path and body in hexadecimal. */
@@ -59,9 +60,14 @@
         val firstRequest: RequestId,
     ) : Reservation
 
-    /** The intent could not be kept; nothing may be sent. */
+    /**
+     * The intent could not be kept; nothing may be sent.
+     *
+     * @property runState [RunState.NOT_RUN] only when it is certain that no earlier call with the key was passed on.
+     */
     data class Unavailable(
         val error: StepError,
+        val runState: RunState = RunState.MAY_HAVE_RUN,
     ) : Reservation
 }
 
