--- /dev/null
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ChatRequest.kt
@@ -0,0 +1,166 @@
+/*
+ * Reads the body of a chat completion. Fields that the system itself acts on are checked here; all others are passed on
+ * to the engine as they are.
+ */
+package auburnhall.gateway
+
+import auburnhall.core.PromptPrefix
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.getOr
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonElement
+import kotlinx.serialization.json.JsonNull
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.booleanOrNull
+import kotlinx.serialization.json.contentOrNull
+import kotlinx.serialization.json.intOrNull
+import java.nio.ByteBuffer
+import java.nio.charset.CharacterCodingException
+
+/**
+ * A chat completion as asked for.
+ *
+ * @property body the whole request object.
+ * @property maxTokens most tokens of the answer; null when the caller named no limit.
+ * @property includeUsage whether a streamed answer ends with a chunk that counts tokens.
+ * @property prefixes hashes of the prompt's prefixes.
+ */
+internal data class ChatRequest(
+    val body: JsonObject,
+    val model: String,
+    val stream: Boolean,
+    val maxTokens: Int?,
+    val includeUsage: Boolean,
+    val prefixes: List<Int>,
+)
+
+/** Why a request body is not valid. [param] names the field at fault; null for the whole body. */
+internal data class FieldError(
+    val param: String?,
+    val message: String,
+)
+
+/** Reads [bytes] as a [ChatRequest]. */
+internal fun parseChatRequest(bytes: ByteArray): Result<ChatRequest, FieldError> {
+    val body = parseObject(bytes) ?: return Err(FieldError(null, "The body is not a JSON object in UTF-8."))
+    val fault = FIELD_RULES.firstNotNullOfOrNull { it.check(body) }
+    return if (fault == null) Ok(chatRequest(body)) else Err(fault)
+}
+
+private fun chatRequest(body: JsonObject): ChatRequest {
+    val options = body["stream_options"] as? JsonObject
+    return ChatRequest(
+        body,
+        text(body["model"]).orEmpty(),
+        flag(body["stream"]),
+        maxTokens(body),
+        flag(options?.get("include_usage")),
+        PromptPrefix.hashes(promptOf(body["messages"] as JsonArray)),
+    )
+}
+
+private fun parseObject(bytes: ByteArray): JsonObject? {
+    val text = decode(bytes).getOr(null) ?: return null
+    return try {
+        Json.parseToJsonElement(text) as? JsonObject
+    } catch (_: SerializationException) {
+        null
+    }
+}
+
+private fun decode(bytes: ByteArray): Result<String?, Unit> =
+    try {
+        Ok(
+            Charsets.UTF_8
+                .newDecoder()
+                .decode(ByteBuffer.wrap(bytes))
+                .toString(),
+        )
+    } catch (_: CharacterCodingException) {
+        Err(Unit)
+    }
+
+/** The prompt as far as prefixes are concerned: roles and texts in order. */
+private fun promptOf(messages: JsonArray): String =
+    buildString {
+        for (m in messages) {
+            val message = m as JsonObject
+            append(text(message["role"])).append('\n')
+            appendContent(message["content"])
+            append('\n')
+            if (length > PromptPrefix.BLOCK_CHARS * PromptPrefix.MAX_BLOCKS) return@buildString
+        }
+    }
+
+private fun StringBuilder.appendContent(content: JsonElement?) {
+    when (content) {
+        is JsonPrimitive -> append(content.contentOrNull.orEmpty())
+        is JsonArray -> content.forEach { append(text((it as? JsonObject)?.get("text")).orEmpty()) }
+        else -> Unit
+    }
+}
+
+private fun maxTokens(body: JsonObject): Int? = number(body["max_completion_tokens"]) ?: number(body["max_tokens"])
+
+private fun text(element: JsonElement?): String? = (element as? JsonPrimitive)?.takeIf { it.isString }?.content
+
+private fun number(element: JsonElement?): Int? = (element as? JsonPrimitive)?.takeIf { !it.isString }?.intOrNull
+
+private fun flag(element: JsonElement?): Boolean = (element as? JsonPrimitive)?.booleanOrNull ?: false
+
+private fun isAbsent(element: JsonElement?) = element == null || element is JsonNull
+
+/** A rule about one field of the body. */
+private class FieldRule(
+    val field: String,
+    val message: String,
+    val holds: (JsonElement?) -> Boolean,
+) {
+    fun check(body: JsonObject): FieldError? = if (holds(body[field])) null else FieldError(field, message)
+}
+
+private const val NOT_SUPPORTED = "This field is not supported."
+
+private fun isBoolean(element: JsonElement?) =
+    isAbsent(element) || (element as? JsonPrimitive)?.let { !it.isString && it.booleanOrNull != null } ?: false
+
+private fun isPositive(element: JsonElement?) = isAbsent(element) || (number(element) ?: 0) > 0
+
+private fun isMessage(element: JsonElement): Boolean {
+    val message = element as? JsonObject ?: return false
+    return text(message["role"]) != null && isContent(message["content"])
+}
+
+private fun isContent(content: JsonElement?): Boolean =
+    isAbsent(content) || text(content) != null || (content as? JsonArray)?.all { it is JsonObject } ?: false
+
+/** Answers are resumed as text, so whatever an answer could hold beside one text is not supported. */
+private fun unsupported(field: String) =
+    FieldRule(field, NOT_SUPPORTED) {
+        isAbsent(it) ||
+            !flag(it) &&
+            it is JsonPrimitive ||
+            (it as? JsonArray)?.isEmpty() == true
+    }
+
+private val FIELD_RULES =
+    listOf(
+        FieldRule("model", "It must be the name of a model.") { !text(it).isNullOrEmpty() },
+        FieldRule("messages", "It must be a list of messages, at least one, each with a role and a content.") {
+            it is JsonArray && it.isNotEmpty() && it.all(::isMessage)
+        },
+        FieldRule("stream", "It must be true or false.", ::isBoolean),
+        FieldRule("stream_options", "It must be an object.") { isAbsent(it) || it is JsonObject },
+        FieldRule("max_tokens", "It must be a whole number above 0.", ::isPositive),
+        FieldRule("max_completion_tokens", "It must be a whole number above 0.", ::isPositive),
+        FieldRule("n", "Only 1 is supported.") { isAbsent(it) || number(it) == 1 },
+        unsupported("tools"),
+        unsupported("functions"),
+        unsupported("logprobs"),
+        unsupported("continue_final_message"),
+    )
