Let entry processes pass load news on along a tree

Cause: a stream from one reporter to every process costs the reporter its 8 KB a second at 370 processes. Ruled out: polling engines from every process, and a full stream per process.

--- a/proto/src/main/java/auburnhall/proto/peer/WatchLoadRequest.java
+++ b/proto/src/main/java/auburnhall/proto/peer/FetchLoadRequest.java
@@ -6,13 +6,13 @@
 package auburnhall.proto.peer;
 
 /**
- * Protobuf type {@code auburnhall.peer.WatchLoadRequest}
+ * Protobuf type {@code auburnhall.peer.FetchLoadRequest}
  */
 @com.google.protobuf.Generated
-public final class WatchLoadRequest extends
+public final class FetchLoadRequest extends
     com.google.protobuf.GeneratedMessage implements
-    // @@protoc_insertion_point(message_implements:auburnhall.peer.WatchLoadRequest)
-    WatchLoadRequestOrBuilder {
+    // @@protoc_insertion_point(message_implements:auburnhall.peer.FetchLoadRequest)
+    FetchLoadRequestOrBuilder {
 private static final long serialVersionUID = 0L;
   static {
     com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
@@ -21,27 +21,27 @@
       /* minor= */ 33,
       /* patch= */ 5,
       /* suffix= */ "",
-      "WatchLoadRequest");
+      "FetchLoadRequest");
   }
-  // Use WatchLoadRequest.newBuilder() to construct.
-  private WatchLoadRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
+  // Use FetchLoadRequest.newBuilder() to construct.
+  private FetchLoadRequest(com.google.protobuf.GeneratedMessage.Builder<?> builder) {
     super(builder);
   }
-  private WatchLoadRequest() {
+  private FetchLoadRequest() {
     dataCentre_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
       getDescriptor() {
-    return auburnhall.proto.peer.PeerOuterClass.internal_static_auburnhall_peer_WatchLoadRequest_descriptor;
+    return auburnhall.proto.peer.PeerOuterClass.internal_static_auburnhall_peer_FetchLoadRequest_descriptor;
   }
 
   @java.lang.Override
   protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internalGetFieldAccessorTable() {
-    return auburnhall.proto.peer.PeerOuterClass.internal_static_auburnhall_peer_WatchLoadRequest_fieldAccessorTable
+    return auburnhall.proto.peer.PeerOuterClass.internal_static_auburnhall_peer_FetchLoadRequest_fieldAccessorTable
         .ensureFieldAccessorsInitialized(
-            auburnhall.proto.peer.WatchLoadRequest.class, auburnhall.proto.peer.WatchLoadRequest.Builder.class);
+            auburnhall.proto.peer.FetchLoadRequest.class, auburnhall.proto.peer.FetchLoadRequest.Builder.class);
   }
 
   public static final int DATA_CENTRE_FIELD_NUMBER = 1;
@@ -122,10 +122,10 @@
     if (obj == this) {
      return true;
     }
-    if (!(obj instanceof auburnhall.proto.peer.WatchLoadRequest)) {
+    if (!(obj instanceof auburnhall.proto.peer.FetchLoadRequest)) {
       return super.equals(obj);
     }
-    auburnhall.proto.peer.WatchLoadRequest other = (auburnhall.proto.peer.WatchLoadRequest) obj;
+    auburnhall.proto.peer.FetchLoadRequest other = (auburnhall.proto.peer.FetchLoadRequest) obj;
 
     if (!getDataCentre()
         .equals(other.getDataCentre())) return false;
@@ -147,44 +147,44 @@
     return hash;
   }
 
-  public static auburnhall.proto.peer.WatchLoadRequest parseFrom(
+  public static auburnhall.proto.peer.FetchLoadRequest parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static auburnhall.proto.peer.WatchLoadRequest parseFrom(
+  public static auburnhall.proto.peer.FetchLoadRequest parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static auburnhall.proto.peer.WatchLoadRequest parseFrom(
+  public static auburnhall.proto.peer.FetchLoadRequest parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static auburnhall.proto.peer.WatchLoadRequest parseFrom(
+  public static auburnhall.proto.peer.FetchLoadRequest parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static auburnhall.proto.peer.WatchLoadRequest parseFrom(byte[] data)
+  public static auburnhall.proto.peer.FetchLoadRequest parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data);
   }
-  public static auburnhall.proto.peer.WatchLoadRequest parseFrom(
+  public static auburnhall.proto.peer.FetchLoadRequest parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return PARSER.parseFrom(data, extensionRegistry);
   }
-  public static auburnhall.proto.peer.WatchLoadRequest parseFrom(java.io.InputStream input)
+  public static auburnhall.proto.peer.FetchLoadRequest parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static auburnhall.proto.peer.WatchLoadRequest parseFrom(
+  public static auburnhall.proto.peer.FetchLoadRequest parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -192,26 +192,26 @@
         .parseWithIOException(PARSER, input, extensionRegistry);
   }
 
-  public static auburnhall.proto.peer.WatchLoadRequest parseDelimitedFrom(java.io.InputStream input)
+  public static auburnhall.proto.peer.FetchLoadRequest parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input);
   }
 
-  public static auburnhall.proto.peer.WatchLoadRequest parseDelimitedFrom(
+  public static auburnhall.proto.peer.FetchLoadRequest parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseDelimitedWithIOException(PARSER, input, extensionRegistry);
   }
-  public static auburnhall.proto.peer.WatchLoadRequest parseFrom(
+  public static auburnhall.proto.peer.FetchLoadRequest parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessage
         .parseWithIOException(PARSER, input);
   }
-  public static auburnhall.proto.peer.WatchLoadRequest parseFrom(
+  public static auburnhall.proto.peer.FetchLoadRequest parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -224,7 +224,7 @@
   public static Builder newBuilder() {
     return DEFAULT_INSTANCE.toBuilder();
   }
-  public static Builder newBuilder(auburnhall.proto.peer.WatchLoadRequest prototype) {
+  public static Builder newBuilder(auburnhall.proto.peer.FetchLoadRequest prototype) {
     return DEFAULT_INSTANCE.toBuilder().mergeFrom(prototype);
   }
   @java.lang.Override
@@ -240,26 +240,26 @@
     return builder;
   }
   /**
-   * Protobuf type {@code auburnhall.peer.WatchLoadRequest}
+   * Protobuf type {@code auburnhall.peer.FetchLoadRequest}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessage.Builder<Builder> implements
-      // @@protoc_insertion_point(builder_implements:auburnhall.peer.WatchLoadRequest)
-      auburnhall.proto.peer.WatchLoadRequestOrBuilder {
+      // @@protoc_insertion_point(builder_implements:auburnhall.peer.FetchLoadRequest)
+      auburnhall.proto.peer.FetchLoadRequestOrBuilder {
     public static final com.google.protobuf.Descriptors.Descriptor
         getDescriptor() {
-      return auburnhall.proto.peer.PeerOuterClass.internal_static_auburnhall_peer_WatchLoadRequest_descriptor;
+      return auburnhall.proto.peer.PeerOuterClass.internal_static_auburnhall_peer_FetchLoadRequest_descriptor;
     }
 
     @java.lang.Override
     protected com.google.protobuf.GeneratedMessage.FieldAccessorTable
         internalGetFieldAccessorTable() {
-      return auburnhall.proto.peer.PeerOuterClass.internal_static_auburnhall_peer_WatchLoadRequest_fieldAccessorTable
+      return auburnhall.proto.peer.PeerOuterClass.internal_static_auburnhall_peer_FetchLoadRequest_fieldAccessorTable
           .ensureFieldAccessorsInitialized(
-              auburnhall.proto.peer.WatchLoadRequest.class, auburnhall.proto.peer.WatchLoadRequest.Builder.class);
+              auburnhall.proto.peer.FetchLoadRequest.class, auburnhall.proto.peer.FetchLoadRequest.Builder.class);
     }
 
-    // Construct using auburnhall.proto.peer.WatchLoadRequest.newBuilder()
+    // Construct using auburnhall.proto.peer.FetchLoadRequest.newBuilder()
     private Builder() {
 
     }
@@ -280,17 +280,17 @@
     @java.lang.Override
     public com.google.protobuf.Descriptors.Descriptor
         getDescriptorForType() {
-      return auburnhall.proto.peer.PeerOuterClass.internal_static_auburnhall_peer_WatchLoadRequest_descriptor;
+      return auburnhall.proto.peer.PeerOuterClass.internal_static_auburnhall_peer_FetchLoadRequest_descriptor;
     }
 
     @java.lang.Override
-    public auburnhall.proto.peer.WatchLoadRequest getDefaultInstanceForType() {
-      return auburnhall.proto.peer.WatchLoadRequest.getDefaultInstance();
+    public auburnhall.proto.peer.FetchLoadRequest getDefaultInstanceForType() {
+      return auburnhall.proto.peer.FetchLoadRequest.getDefaultInstance();
     }
 
     @java.lang.Override
-    public auburnhall.proto.peer.WatchLoadRequest build() {
-      auburnhall.proto.peer.WatchLoadRequest result = buildPartial();
+    public auburnhall.proto.peer.FetchLoadRequest build() {
+      auburnhall.proto.peer.FetchLoadRequest result = buildPartial();
       if (!result.isInitialized()) {
         throw newUninitializedMessageException(result);
       }
@@ -298,14 +298,14 @@
     }
 
     @java.lang.Override
-    public auburnhall.proto.peer.WatchLoadRequest buildPartial() {
-      auburnhall.proto.peer.WatchLoadRequest result = new auburnhall.proto.peer.WatchLoadRequest(this);
+    public auburnhall.proto.peer.FetchLoadRequest buildPartial() {
+      auburnhall.proto.peer.FetchLoadRequest result = new auburnhall.proto.peer.FetchLoadRequest(this);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
-    private void buildPartial0(auburnhall.proto.peer.WatchLoadRequest result) {
+    private void buildPartial0(auburnhall.proto.peer.FetchLoadRequest result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
         result.dataCentre_ = dataCentre_;
@@ -314,16 +314,16 @@
 
     @java.lang.Override
     public Builder mergeFrom(com.google.protobuf.Message other) {
-      if (other instanceof auburnhall.proto.peer.WatchLoadRequest) {
-        return mergeFrom((auburnhall.proto.peer.WatchLoadRequest)other);
+      if (other instanceof auburnhall.proto.peer.FetchLoadRequest) {
+        return mergeFrom((auburnhall.proto.peer.FetchLoadRequest)other);
       } else {
         super.mergeFrom(other);
         return this;
       }
     }
 
-    public Builder mergeFrom(auburnhall.proto.peer.WatchLoadRequest other) {
-      if (other == auburnhall.proto.peer.WatchLoadRequest.getDefaultInstance()) return this;
+    public Builder mergeFrom(auburnhall.proto.peer.FetchLoadRequest other) {
+      if (other == auburnhall.proto.peer.FetchLoadRequest.getDefaultInstance()) return this;
       if (!other.getDataCentre().isEmpty()) {
         dataCentre_ = other.dataCentre_;
         bitField0_ |= 0x00000001;
@@ -449,23 +449,23 @@
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:auburnhall.peer.WatchLoadRequest)
+    // @@protoc_insertion_point(builder_scope:auburnhall.peer.FetchLoadRequest)
   }
 
-  // @@protoc_insertion_point(class_scope:auburnhall.peer.WatchLoadRequest)
-  private static final auburnhall.proto.peer.WatchLoadRequest DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:auburnhall.peer.FetchLoadRequest)
+  private static final auburnhall.proto.peer.FetchLoadRequest DEFAULT_INSTANCE;
   static {
-    DEFAULT_INSTANCE = new auburnhall.proto.peer.WatchLoadRequest();
+    DEFAULT_INSTANCE = new auburnhall.proto.peer.FetchLoadRequest();
   }
 
-  public static auburnhall.proto.peer.WatchLoadRequest getDefaultInstance() {
+  public static auburnhall.proto.peer.FetchLoadRequest getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static final com.google.protobuf.Parser<WatchLoadRequest>
-      PARSER = new com.google.protobuf.AbstractParser<WatchLoadRequest>() {
+  private static final com.google.protobuf.Parser<FetchLoadRequest>
+      PARSER = new com.google.protobuf.AbstractParser<FetchLoadRequest>() {
     @java.lang.Override
-    public WatchLoadRequest parsePartialFrom(
+    public FetchLoadRequest parsePartialFrom(
         com.google.protobuf.CodedInputStream input,
         com.google.protobuf.ExtensionRegistryLite extensionRegistry)
         throws com.google.protobuf.InvalidProtocolBufferException {
@@ -484,17 +484,17 @@
     }
   };
 
-  public static com.google.protobuf.Parser<WatchLoadRequest> parser() {
+  public static com.google.protobuf.Parser<FetchLoadRequest> parser() {
     return PARSER;
   }
 
   @java.lang.Override
-  public com.google.protobuf.Parser<WatchLoadRequest> getParserForType() {
+  public com.google.protobuf.Parser<FetchLoadRequest> getParserForType() {
     return PARSER;
   }
 
   @java.lang.Override
-  public auburnhall.proto.peer.WatchLoadRequest getDefaultInstanceForType() {
+  public auburnhall.proto.peer.FetchLoadRequest getDefaultInstanceForType() {
     return DEFAULT_INSTANCE;
   }
 
--- a/proto/src/main/java/auburnhall/proto/peer/WatchLoadRequestOrBuilder.java
+++ b/proto/src/main/java/auburnhall/proto/peer/FetchLoadRequestOrBuilder.java
@@ -6,8 +6,8 @@
 package auburnhall.proto.peer;
 
 @com.google.protobuf.Generated
-public interface WatchLoadRequestOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:auburnhall.peer.WatchLoadRequest)
+public interface FetchLoadRequestOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:auburnhall.peer.FetchLoadRequest)
     com.google.protobuf.MessageOrBuilder {
 
   /**
--- a/proto/src/main/java/auburnhall/proto/peer/LoadReport.java
+++ b/proto/src/main/java/auburnhall/proto/peer/LoadReport.java
@@ -88,7 +88,7 @@
   private boolean controller_ = false;
   /**
    * <pre>
-   * False when the callee does not control the data centre; no replicas are listed then.
+   * False when the callee has no report of the data centre; no replicas are listed then.
    * </pre>
    *
    * <code>bool controller = 2;</code>
@@ -605,7 +605,7 @@
     private boolean controller_ ;
     /**
      * <pre>
-     * False when the callee does not control the data centre; no replicas are listed then.
+     * False when the callee has no report of the data centre; no replicas are listed then.
      * </pre>
      *
      * <code>bool controller = 2;</code>
@@ -617,7 +617,7 @@
     }
     /**
      * <pre>
-     * False when the callee does not control the data centre; no replicas are listed then.
+     * False when the callee has no report of the data centre; no replicas are listed then.
      * </pre>
      *
      * <code>bool controller = 2;</code>
@@ -633,7 +633,7 @@
     }
     /**
      * <pre>
-     * False when the callee does not control the data centre; no replicas are listed then.
+     * False when the callee has no report of the data centre; no replicas are listed then.
      * </pre>
      *
      * <code>bool controller = 2;</code>
--- a/proto/src/main/java/auburnhall/proto/peer/LoadReportOrBuilder.java
+++ b/proto/src/main/java/auburnhall/proto/peer/LoadReportOrBuilder.java
@@ -24,7 +24,7 @@
 
   /**
    * <pre>
-   * False when the callee does not control the data centre; no replicas are listed then.
+   * False when the callee has no report of the data centre; no replicas are listed then.
    * </pre>
    *
    * <code>bool controller = 2;</code>
--- a/proto/src/main/java/auburnhall/proto/peer/PeerGrpc.java
+++ b/proto/src/main/java/auburnhall/proto/peer/PeerGrpc.java
@@ -74,35 +74,35 @@
     return getFetchConfigMethod;
   }
 
-  private static volatile io.grpc.MethodDescriptor<auburnhall.proto.peer.WatchLoadRequest,
-      auburnhall.proto.peer.LoadReport> getWatchLoadMethod;
+  private static volatile io.grpc.MethodDescriptor<auburnhall.proto.peer.FetchLoadRequest,
+      auburnhall.proto.peer.LoadReport> getFetchLoadMethod;
 
   @io.grpc.stub.annotations.RpcMethod(
-      fullMethodName = SERVICE_NAME + '/' + "WatchLoad",
-      requestType = auburnhall.proto.peer.WatchLoadRequest.class,
+      fullMethodName = SERVICE_NAME + '/' + "FetchLoad",
+      requestType = auburnhall.proto.peer.FetchLoadRequest.class,
       responseType = auburnhall.proto.peer.LoadReport.class,
-      methodType = io.grpc.MethodDescriptor.MethodType.SERVER_STREAMING)
-  public static io.grpc.MethodDescriptor<auburnhall.proto.peer.WatchLoadRequest,
-      auburnhall.proto.peer.LoadReport> getWatchLoadMethod() {
-    io.grpc.MethodDescriptor<auburnhall.proto.peer.WatchLoadRequest, auburnhall.proto.peer.LoadReport> getWatchLoadMethod;
-    if ((getWatchLoadMethod = PeerGrpc.getWatchLoadMethod) == null) {
+      methodType = io.grpc.MethodDescriptor.MethodType.UNARY)
+  public static io.grpc.MethodDescriptor<auburnhall.proto.peer.FetchLoadRequest,
+      auburnhall.proto.peer.LoadReport> getFetchLoadMethod() {
+    io.grpc.MethodDescriptor<auburnhall.proto.peer.FetchLoadRequest, auburnhall.proto.peer.LoadReport> getFetchLoadMethod;
+    if ((getFetchLoadMethod = PeerGrpc.getFetchLoadMethod) == null) {
       synchronized (PeerGrpc.class) {
-        if ((getWatchLoadMethod = PeerGrpc.getWatchLoadMethod) == null) {
-          PeerGrpc.getWatchLoadMethod = getWatchLoadMethod =
-              io.grpc.MethodDescriptor.<auburnhall.proto.peer.WatchLoadRequest, auburnhall.proto.peer.LoadReport>newBuilder()
-              .setType(io.grpc.MethodDescriptor.MethodType.SERVER_STREAMING)
-              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "WatchLoad"))
+        if ((getFetchLoadMethod = PeerGrpc.getFetchLoadMethod) == null) {
+          PeerGrpc.getFetchLoadMethod = getFetchLoadMethod =
+              io.grpc.MethodDescriptor.<auburnhall.proto.peer.FetchLoadRequest, auburnhall.proto.peer.LoadReport>newBuilder()
+              .setType(io.grpc.MethodDescriptor.MethodType.UNARY)
+              .setFullMethodName(generateFullMethodName(SERVICE_NAME, "FetchLoad"))
               .setSampledToLocalTracing(true)
               .setRequestMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
-                  auburnhall.proto.peer.WatchLoadRequest.getDefaultInstance()))
+                  auburnhall.proto.peer.FetchLoadRequest.getDefaultInstance()))
               .setResponseMarshaller(io.grpc.protobuf.ProtoUtils.marshaller(
                   auburnhall.proto.peer.LoadReport.getDefaultInstance()))
-              .setSchemaDescriptor(new PeerMethodDescriptorSupplier("WatchLoad"))
+              .setSchemaDescriptor(new PeerMethodDescriptorSupplier("FetchLoad"))
               .build();
         }
       }
     }
-    return getWatchLoadMethod;
+    return getFetchLoadMethod;
   }
 
   private static volatile io.grpc.MethodDescriptor<auburnhall.proto.peer.BorrowSharesRequest,
@@ -345,12 +345,12 @@
 
     /**
      * <pre>
-     * Load and presence of the replicas of one data centre, one report after another.
+     * The newest load and presence of the replicas of one data centre that the callee has, its own or passed on.
      * </pre>
      */
-    default void watchLoad(auburnhall.proto.peer.WatchLoadRequest request,
+    default void fetchLoad(auburnhall.proto.peer.FetchLoadRequest request,
         io.grpc.stub.StreamObserver<auburnhall.proto.peer.LoadReport> responseObserver) {
-      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getWatchLoadMethod(), responseObserver);
+      io.grpc.stub.ServerCalls.asyncUnimplementedUnaryCall(getFetchLoadMethod(), responseObserver);
     }
 
     /**
@@ -455,13 +455,13 @@
 
     /**
      * <pre>
-     * Load and presence of the replicas of one data centre, one report after another.
+     * The newest load and presence of the replicas of one data centre that the callee has, its own or passed on.
      * </pre>
      */
-    public void watchLoad(auburnhall.proto.peer.WatchLoadRequest request,
+    public void fetchLoad(auburnhall.proto.peer.FetchLoadRequest request,
         io.grpc.stub.StreamObserver<auburnhall.proto.peer.LoadReport> responseObserver) {
-      io.grpc.stub.ClientCalls.asyncServerStreamingCall(
-          getChannel().newCall(getWatchLoadMethod(), getCallOptions()), request, responseObserver);
+      io.grpc.stub.ClientCalls.asyncUnaryCall(
+          getChannel().newCall(getFetchLoadMethod(), getCallOptions()), request, responseObserver);
     }
 
     /**
@@ -558,14 +558,12 @@
 
     /**
      * <pre>
-     * Load and presence of the replicas of one data centre, one report after another.
+     * The newest load and presence of the replicas of one data centre that the callee has, its own or passed on.
      * </pre>
      */
-    @io.grpc.ExperimentalApi("https://github.com/grpc/grpc-java/issues/10918")
-    public io.grpc.stub.BlockingClientCall<?, auburnhall.proto.peer.LoadReport>
-        watchLoad(auburnhall.proto.peer.WatchLoadRequest request) {
-      return io.grpc.stub.ClientCalls.blockingV2ServerStreamingCall(
-          getChannel(), getWatchLoadMethod(), getCallOptions(), request);
+    public auburnhall.proto.peer.LoadReport fetchLoad(auburnhall.proto.peer.FetchLoadRequest request) throws io.grpc.StatusException {
+      return io.grpc.stub.ClientCalls.blockingV2UnaryCall(
+          getChannel(), getFetchLoadMethod(), getCallOptions(), request);
     }
 
     /**
@@ -657,13 +655,12 @@
 
     /**
      * <pre>
-     * Load and presence of the replicas of one data centre, one report after another.
+     * The newest load and presence of the replicas of one data centre that the callee has, its own or passed on.
      * </pre>
      */
-    public java.util.Iterator<auburnhall.proto.peer.LoadReport> watchLoad(
-        auburnhall.proto.peer.WatchLoadRequest request) {
-      return io.grpc.stub.ClientCalls.blockingServerStreamingCall(
-          getChannel(), getWatchLoadMethod(), getCallOptions(), request);
+    public auburnhall.proto.peer.LoadReport fetchLoad(auburnhall.proto.peer.FetchLoadRequest request) {
+      return io.grpc.stub.ClientCalls.blockingUnaryCall(
+          getChannel(), getFetchLoadMethod(), getCallOptions(), request);
     }
 
     /**
@@ -755,6 +752,17 @@
           getChannel().newCall(getFetchConfigMethod(), getCallOptions()), request);
     }
 
+    /**
+     * <pre>
+     * The newest load and presence of the replicas of one data centre that the callee has, its own or passed on.
+     * </pre>
+     */
+    public com.google.common.util.concurrent.ListenableFuture<auburnhall.proto.peer.LoadReport> fetchLoad(
+        auburnhall.proto.peer.FetchLoadRequest request) {
+      return io.grpc.stub.ClientCalls.futureUnaryCall(
+          getChannel().newCall(getFetchLoadMethod(), getCallOptions()), request);
+    }
+
     /**
      * <pre>
      * Shares of customers' limits, lent by their owner.
@@ -813,7 +821,7 @@
 
   private static final int METHODID_HEARTBEAT = 0;
   private static final int METHODID_FETCH_CONFIG = 1;
-  private static final int METHODID_WATCH_LOAD = 2;
+  private static final int METHODID_FETCH_LOAD = 2;
   private static final int METHODID_BORROW_SHARES = 3;
   private static final int METHODID_RESERVE_INTENT = 4;
   private static final int METHODID_COMPLETE_INTENT = 5;
@@ -845,8 +853,8 @@
           serviceImpl.fetchConfig((auburnhall.proto.peer.FetchConfigRequest) request,
               (io.grpc.stub.StreamObserver<auburnhall.proto.peer.FetchConfigReply>) responseObserver);
           break;
-        case METHODID_WATCH_LOAD:
-          serviceImpl.watchLoad((auburnhall.proto.peer.WatchLoadRequest) request,
+        case METHODID_FETCH_LOAD:
+          serviceImpl.fetchLoad((auburnhall.proto.peer.FetchLoadRequest) request,
               (io.grpc.stub.StreamObserver<auburnhall.proto.peer.LoadReport>) responseObserver);
           break;
         case METHODID_BORROW_SHARES:
@@ -902,12 +910,12 @@
               auburnhall.proto.peer.FetchConfigReply>(
                 service, METHODID_FETCH_CONFIG)))
         .addMethod(
-          getWatchLoadMethod(),
-          io.grpc.stub.ServerCalls.asyncServerStreamingCall(
+          getFetchLoadMethod(),
+          io.grpc.stub.ServerCalls.asyncUnaryCall(
             new MethodHandlers<
-              auburnhall.proto.peer.WatchLoadRequest,
+              auburnhall.proto.peer.FetchLoadRequest,
               auburnhall.proto.peer.LoadReport>(
-                service, METHODID_WATCH_LOAD)))
+                service, METHODID_FETCH_LOAD)))
         .addMethod(
           getBorrowSharesMethod(),
           io.grpc.stub.ServerCalls.asyncUnaryCall(
@@ -993,7 +1001,7 @@
               .setSchemaDescriptor(new PeerFileDescriptorSupplier())
               .addMethod(getHeartbeatMethod())
               .addMethod(getFetchConfigMethod())
-              .addMethod(getWatchLoadMethod())
+              .addMethod(getFetchLoadMethod())
               .addMethod(getBorrowSharesMethod())
               .addMethod(getReserveIntentMethod())
               .addMethod(getCompleteIntentMethod())
--- a/proto/src/main/java/auburnhall/proto/peer/PeerOuterClass.java
+++ b/proto/src/main/java/auburnhall/proto/peer/PeerOuterClass.java
@@ -52,10 +52,10 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_auburnhall_peer_FetchConfigReply_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_auburnhall_peer_WatchLoadRequest_descriptor;
+    internal_static_auburnhall_peer_FetchLoadRequest_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_auburnhall_peer_WatchLoadRequest_fieldAccessorTable;
+      internal_static_auburnhall_peer_FetchLoadRequest_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_auburnhall_peer_LoadReport_descriptor;
   static final 
@@ -152,7 +152,7 @@
       "\003(\0132\035.auburnhall.peer.HeardProcess\"\024\n\022Fe" +
       "tchConfigRequest\"R\n\020FetchConfigReply\022\026\n\016" +
       "config_version\030\001 \001(\003\022\024\n\014store_age_ms\030\002 \001" +
-      "(\003\022\020\n\010document\030\003 \001(\014\"\'\n\020WatchLoadRequest" +
+      "(\003\022\020\n\010document\030\003 \001(\014\"\'\n\020FetchLoadRequest" +
       "\022\023\n\013data_centre\030\001 \001(\t\"e\n\nLoadReport\022\023\n\013d" +
       "ata_centre\030\001 \001(\t\022\022\n\ncontroller\030\002 \001(\010\022.\n\010" +
       "replicas\030\003 \003(\0132\034.auburnhall.peer.Replica" +
@@ -195,27 +195,27 @@
       "KeepExplanationsRequest\022\017\n\007records\030\001 \003(\014" +
       "\"\027\n\025KeepExplanationsReply\",\n\026FindExplana" +
       "tionRequest\022\022\n\nrequest_id\030\001 \001(\t\"\'\n\024FindE" +
-      "xplanationReply\022\017\n\007records\030\001 \003(\0142\335\005\n\004Pee" +
+      "xplanationReply\022\017\n\007records\030\001 \003(\0142\333\005\n\004Pee" +
       "r\022O\n\tHeartbeat\022!.auburnhall.peer.Heartbe" +
       "atRequest\032\037.auburnhall.peer.HeartbeatRep" +
       "ly\022U\n\013FetchConfig\022#.auburnhall.peer.Fetc" +
       "hConfigRequest\032!.auburnhall.peer.FetchCo" +
-      "nfigReply\022M\n\tWatchLoad\022!.auburnhall.peer" +
-      ".WatchLoadRequest\032\033.auburnhall.peer.Load" +
-      "Report0\001\022X\n\014BorrowShares\022$.auburnhall.pe" +
-      "er.BorrowSharesRequest\032\".auburnhall.peer" +
-      ".BorrowSharesReply\022[\n\rReserveIntent\022%.au" +
-      "burnhall.peer.ReserveIntentRequest\032#.aub" +
-      "urnhall.peer.ReserveIntentReply\022^\n\016Compl" +
-      "eteIntent\022&.auburnhall.peer.CompleteInte" +
-      "ntRequest\032$.auburnhall.peer.CompleteInte" +
-      "ntReply\022d\n\020KeepExplanations\022(.auburnhall" +
-      ".peer.KeepExplanationsRequest\032&.auburnha" +
-      "ll.peer.KeepExplanationsReply\022a\n\017FindExp" +
-      "lanation\022\'.auburnhall.peer.FindExplanati" +
-      "onRequest\032%.auburnhall.peer.FindExplanat" +
-      "ionReplyB\031\n\025auburnhall.proto.peerP\001b\006pro" +
-      "to3"
+      "nfigReply\022K\n\tFetchLoad\022!.auburnhall.peer" +
+      ".FetchLoadRequest\032\033.auburnhall.peer.Load" +
+      "Report\022X\n\014BorrowShares\022$.auburnhall.peer" +
+      ".BorrowSharesRequest\032\".auburnhall.peer.B" +
+      "orrowSharesReply\022[\n\rReserveIntent\022%.aubu" +
+      "rnhall.peer.ReserveIntentRequest\032#.aubur" +
+      "nhall.peer.ReserveIntentReply\022^\n\016Complet" +
+      "eIntent\022&.auburnhall.peer.CompleteIntent" +
+      "Request\032$.auburnhall.peer.CompleteIntent" +
+      "Reply\022d\n\020KeepExplanations\022(.auburnhall.p" +
+      "eer.KeepExplanationsRequest\032&.auburnhall" +
+      ".peer.KeepExplanationsReply\022a\n\017FindExpla" +
+      "nation\022\'.auburnhall.peer.FindExplanation" +
+      "Request\032%.auburnhall.peer.FindExplanatio" +
+      "nReplyB\031\n\025auburnhall.proto.peerP\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -251,11 +251,11 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_FetchConfigReply_descriptor,
         new java.lang.String[] { "ConfigVersion", "StoreAgeMs", "Document", });
-    internal_static_auburnhall_peer_WatchLoadRequest_descriptor =
+    internal_static_auburnhall_peer_FetchLoadRequest_descriptor =
       getDescriptor().getMessageType(5);
-    internal_static_auburnhall_peer_WatchLoadRequest_fieldAccessorTable = new
+    internal_static_auburnhall_peer_FetchLoadRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_auburnhall_peer_WatchLoadRequest_descriptor,
+        internal_static_auburnhall_peer_FetchLoadRequest_descriptor,
         new java.lang.String[] { "DataCentre", });
     internal_static_auburnhall_peer_LoadReport_descriptor =
       getDescriptor().getMessageType(6);
