--- a/standin/src/main/kotlin/auburnhall/standin/Main.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/Main.kt
@@ -4,6 +4,7 @@
 package auburnhall.standin
 
 import auburnhall.standin.engine.EngineCommand
+import auburnhall.standin.platform.PlatformCommand
 import auburnhall.standin.service.ServiceCommand
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
@@ -15,6 +16,7 @@
 fun main(args: Array<String>) {
     val command =
         when (args.firstOrNull()) {
+            "platform" -> platform()
             "engine" -> EngineCommand()
             "service" -> ServiceCommand()
             else -> fail("usage: standin platform|engine|service OPTIONS")
@@ -27,6 +29,15 @@
     command.run()
 }
 
+private fun platform(): StandinCommand {
+    val command = PlatformCommand()
+    return object : StandinCommand {
+        override val options = command
+
+        override fun run() = command.run()
+    }
+}
+
 private fun fail(message: String): Nothing {
     System.err.println(message)
     exitProcess(BAD_USAGE)
