--- a/proto/src/main/java/auburnhall/proto/peer/PeerOuterClass.java
+++ b/proto/src/main/java/auburnhall/proto/peer/PeerOuterClass.java
@@ -52,10 +52,10 @@
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_auburnhall_peer_FetchConfigReply_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
-    internal_static_auburnhall_peer_WatchLoadRequest_descriptor;
+    internal_static_auburnhall_peer_FetchLoadRequest_descriptor;
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
-      internal_static_auburnhall_peer_WatchLoadRequest_fieldAccessorTable;
+      internal_static_auburnhall_peer_FetchLoadRequest_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_auburnhall_peer_LoadReport_descriptor;
   static final 
@@ -152,7 +152,7 @@
       "\003(\0132\035.auburnhall.peer.HeardProcess\"\024\n\022Fe" +
       "tchConfigRequest\"R\n\020FetchConfigReply\022\026\n\016" +
       "config_version\030\001 \001(\003\022\024\n\014store_age_ms\030\002 \001" +
-      "(\003\022\020\n\010document\030\003 \001(\014\"\'\n\020WatchLoadRequest" +
+      "(\003\022\020\n\010document\030\003 \001(\014\"\'\n\020FetchLoadRequest" +
       "\022\023\n\013data_centre\030\001 \001(\t\"e\n\nLoadReport\022\023\n\013d" +
       "ata_centre\030\001 \001(\t\022\022\n\ncontroller\030\002 \001(\010\022.\n\010" +
       "replicas\030\003 \003(\0132\034.auburnhall.peer.Replica" +
@@ -164,57 +164,58 @@
       "\001(\010\022\026\n\016leader_address\030\n \001(\t\022\024\n\010prefixes\030" +
       "\013 \003(\007B\002\020\001\"U\n\023BorrowSharesRequest\022\017\n\007proc" +
       "ess\030\001 \001(\t\022-\n\007demands\030\002 \003(\0132\034.auburnhall." +
-      "peer.ShareDemand\"U\n\013ShareDemand\022\020\n\010custo" +
+      "peer.ShareDemand\"j\n\013ShareDemand\022\020\n\010custo" +
       "mer\030\001 \001(\t\022\020\n\010requests\030\002 \001(\001\022\016\n\006tokens\030\003 " +
-      "\001(\001\022\022\n\nconcurrent\030\004 \001(\005\"@\n\021BorrowSharesR" +
-      "eply\022+\n\006grants\030\001 \003(\0132\033.auburnhall.peer.S" +
-      "hareGrant\"f\n\nShareGrant\022\020\n\010customer\030\001 \001(" +
-      "\t\022\020\n\010requests\030\002 \001(\001\022\016\n\006tokens\030\003 \001(\001\022\022\n\nc" +
-      "oncurrent\030\004 \001(\005\022\020\n\010valid_ms\030\005 \001(\003\"{\n\024Res" +
-      "erveIntentRequest\022\017\n\007process\030\001 \001(\t\022\020\n\010cu" +
-      "stomer\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\023\n" +
-      "\013body_digest\030\004 \001(\t\022\022\n\nrequest_id\030\005 \001(\t\"\270" +
-      "\002\n\022ReserveIntentReply\0228\n\005state\030\001 \001(\0162).a" +
-      "uburnhall.peer.ReserveIntentReply.State\022" +
-      "\032\n\022dispatch_within_ms\030\002 \001(\003\022/\n\006answer\030\003 " +
-      "\001(\0132\037.auburnhall.peer.RecordedAnswer\022\030\n\020" +
-      "first_request_id\030\004 \001(\t\022\016\n\006reason\030\005 \001(\t\"q" +
-      "\n\005State\022\017\n\013UNAVAILABLE\020\000\022\013\n\007GRANTED\020\001\022\017\n" +
-      "\013IN_PROGRESS\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\010\n\004DONE" +
-      "\020\004\022\016\n\nKEY_REUSED\020\005\022\r\n\tNOT_OWNER\020\006\"D\n\016Rec" +
-      "ordedAnswer\022\016\n\006status\030\001 \001(\005\022\024\n\014content_t" +
-      "ype\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\374\001\n\025CompleteInte" +
-      "ntRequest\022\020\n\010customer\030\001 \001(\t\022\027\n\017idempoten" +
-      "cy_key\030\002 \001(\t\022\022\n\nrequest_id\030\003 \001(\t\022?\n\007outc" +
-      "ome\030\004 \001(\0162..auburnhall.peer.CompleteInte" +
-      "ntRequest.Outcome\022/\n\006answer\030\005 \001(\0132\037.aubu" +
-      "rnhall.peer.RecordedAnswer\"2\n\007Outcome\022\013\n" +
-      "\007NOT_RUN\020\000\022\020\n\014MAY_HAVE_RUN\020\001\022\010\n\004DONE\020\002\"7" +
-      "\n\023CompleteIntentReply\022\020\n\010recorded\030\001 \001(\010\022" +
-      "\016\n\006reason\030\002 \001(\t\"*\n\027KeepExplanationsReque" +
-      "st\022\017\n\007records\030\001 \003(\014\"\027\n\025KeepExplanationsR" +
-      "eply\",\n\026FindExplanationRequest\022\022\n\nreques" +
-      "t_id\030\001 \001(\t\"\'\n\024FindExplanationReply\022\017\n\007re" +
-      "cords\030\001 \003(\0142\335\005\n\004Peer\022O\n\tHeartbeat\022!.aubu" +
-      "rnhall.peer.HeartbeatRequest\032\037.auburnhal" +
-      "l.peer.HeartbeatReply\022U\n\013FetchConfig\022#.a" +
-      "uburnhall.peer.FetchConfigRequest\032!.aubu" +
-      "rnhall.peer.FetchConfigReply\022M\n\tWatchLoa" +
-      "d\022!.auburnhall.peer.WatchLoadRequest\032\033.a" +
-      "uburnhall.peer.LoadReport0\001\022X\n\014BorrowSha" +
-      "res\022$.auburnhall.peer.BorrowSharesReques" +
-      "t\032\".auburnhall.peer.BorrowSharesReply\022[\n" +
-      "\rReserveIntent\022%.auburnhall.peer.Reserve" +
-      "IntentRequest\032#.auburnhall.peer.ReserveI" +
-      "ntentReply\022^\n\016CompleteIntent\022&.auburnhal" +
-      "l.peer.CompleteIntentRequest\032$.auburnhal" +
-      "l.peer.CompleteIntentReply\022d\n\020KeepExplan" +
-      "ations\022(.auburnhall.peer.KeepExplanation" +
-      "sRequest\032&.auburnhall.peer.KeepExplanati" +
-      "onsReply\022a\n\017FindExplanation\022\'.auburnhall" +
-      ".peer.FindExplanationRequest\032%.auburnhal" +
-      "l.peer.FindExplanationReplyB\031\n\025auburnhal" +
-      "l.proto.peerP\001b\006proto3"
+      "\001(\001\022\022\n\nconcurrent\030\004 \001(\005\022\023\n\013in_progress\030\005" +
+      " \001(\005\"@\n\021BorrowSharesReply\022+\n\006grants\030\001 \003(" +
+      "\0132\033.auburnhall.peer.ShareGrant\"f\n\nShareG" +
+      "rant\022\020\n\010customer\030\001 \001(\t\022\020\n\010requests\030\002 \001(\001" +
+      "\022\016\n\006tokens\030\003 \001(\001\022\022\n\nconcurrent\030\004 \001(\005\022\020\n\010" +
+      "valid_ms\030\005 \001(\003\"{\n\024ReserveIntentRequest\022\017" +
+      "\n\007process\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017ide" +
+      "mpotency_key\030\003 \001(\t\022\023\n\013body_digest\030\004 \001(\t\022" +
+      "\022\n\nrequest_id\030\005 \001(\t\"\270\002\n\022ReserveIntentRep" +
+      "ly\0228\n\005state\030\001 \001(\0162).auburnhall.peer.Rese" +
+      "rveIntentReply.State\022\032\n\022dispatch_within_" +
+      "ms\030\002 \001(\003\022/\n\006answer\030\003 \001(\0132\037.auburnhall.pe" +
+      "er.RecordedAnswer\022\030\n\020first_request_id\030\004 " +
+      "\001(\t\022\016\n\006reason\030\005 \001(\t\"q\n\005State\022\017\n\013UNAVAILA" +
+      "BLE\020\000\022\013\n\007GRANTED\020\001\022\017\n\013IN_PROGRESS\020\002\022\020\n\014M" +
+      "AY_HAVE_RUN\020\003\022\010\n\004DONE\020\004\022\016\n\nKEY_REUSED\020\005\022" +
+      "\r\n\tNOT_OWNER\020\006\"D\n\016RecordedAnswer\022\016\n\006stat" +
+      "us\030\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003" +
+      " \001(\014\"\374\001\n\025CompleteIntentRequest\022\020\n\010custom" +
+      "er\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\022\n\nreq" +
+      "uest_id\030\003 \001(\t\022?\n\007outcome\030\004 \001(\0162..auburnh" +
+      "all.peer.CompleteIntentRequest.Outcome\022/" +
+      "\n\006answer\030\005 \001(\0132\037.auburnhall.peer.Recorde" +
+      "dAnswer\"2\n\007Outcome\022\013\n\007NOT_RUN\020\000\022\020\n\014MAY_H" +
+      "AVE_RUN\020\001\022\010\n\004DONE\020\002\"7\n\023CompleteIntentRep" +
+      "ly\022\020\n\010recorded\030\001 \001(\010\022\016\n\006reason\030\002 \001(\t\"*\n\027" +
+      "KeepExplanationsRequest\022\017\n\007records\030\001 \003(\014" +
+      "\"\027\n\025KeepExplanationsReply\",\n\026FindExplana" +
+      "tionRequest\022\022\n\nrequest_id\030\001 \001(\t\"\'\n\024FindE" +
+      "xplanationReply\022\017\n\007records\030\001 \003(\0142\333\005\n\004Pee" +
+      "r\022O\n\tHeartbeat\022!.auburnhall.peer.Heartbe" +
+      "atRequest\032\037.auburnhall.peer.HeartbeatRep" +
+      "ly\022U\n\013FetchConfig\022#.auburnhall.peer.Fetc" +
+      "hConfigRequest\032!.auburnhall.peer.FetchCo" +
+      "nfigReply\022K\n\tFetchLoad\022!.auburnhall.peer" +
+      ".FetchLoadRequest\032\033.auburnhall.peer.Load" +
+      "Report\022X\n\014BorrowShares\022$.auburnhall.peer" +
+      ".BorrowSharesRequest\032\".auburnhall.peer.B" +
+      "orrowSharesReply\022[\n\rReserveIntent\022%.aubu" +
+      "rnhall.peer.ReserveIntentRequest\032#.aubur" +
+      "nhall.peer.ReserveIntentReply\022^\n\016Complet" +
+      "eIntent\022&.auburnhall.peer.CompleteIntent" +
+      "Request\032$.auburnhall.peer.CompleteIntent" +
+      "Reply\022d\n\020KeepExplanations\022(.auburnhall.p" +
+      "eer.KeepExplanationsRequest\032&.auburnhall" +
+      ".peer.KeepExplanationsReply\022a\n\017FindExpla" +
+      "nation\022\'.auburnhall.peer.FindExplanation" +
+      "Request\032%.auburnhall.peer.FindExplanatio" +
+      "nReplyB\031\n\025auburnhall.proto.peerP\001b\006proto" +
+      "3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -250,11 +251,11 @@
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_FetchConfigReply_descriptor,
         new java.lang.String[] { "ConfigVersion", "StoreAgeMs", "Document", });
-    internal_static_auburnhall_peer_WatchLoadRequest_descriptor =
+    internal_static_auburnhall_peer_FetchLoadRequest_descriptor =
       getDescriptor().getMessageType(5);
-    internal_static_auburnhall_peer_WatchLoadRequest_fieldAccessorTable = new
+    internal_static_auburnhall_peer_FetchLoadRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
-        internal_static_auburnhall_peer_WatchLoadRequest_descriptor,
+        internal_static_auburnhall_peer_FetchLoadRequest_descriptor,
         new java.lang.String[] { "DataCentre", });
     internal_static_auburnhall_peer_LoadReport_descriptor =
       getDescriptor().getMessageType(6);
@@ -279,7 +280,7 @@
     internal_static_auburnhall_peer_ShareDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_ShareDemand_descriptor,
-        new java.lang.String[] { "Customer", "Requests", "Tokens", "Concurrent", });
+        new java.lang.String[] { "Customer", "Requests", "Tokens", "Concurrent", "InProgress", });
     internal_static_auburnhall_peer_BorrowSharesReply_descriptor =
       getDescriptor().getMessageType(10);
     internal_static_auburnhall_peer_BorrowSharesReply_fieldAccessorTable = new
