--- a/limits/src/main/kotlin/auburnhall/limits/AdmissionQueue.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/AdmissionQueue.kt
@@ -86,26 +86,27 @@
     private val router: Router,
     private val inputs: AdmissionInputs,
 ) {
-    private val shares = HashMap<CustomerId, CustomerShares>()
+    internal val accounts = HashMap<CustomerId, CustomerShares>()
+    private val check = ArrivalCheck(settings, inputs)
     private val models = LinkedHashMap<String, ModelQueue>()
 
     /** Requests that wait. */
     val waiting: Int get() = models.values.sumOf { it.size }
 
     /** Whether a request waits for a share of its customer's limits. */
-    val isShort: Boolean get() = shares.values.any { it.isShort }
+    val isShort: Boolean get() = accounts.values.any { it.isShort }
 
     /** Takes [request] in; it may be refused at once, and otherwise waits for [dispatch]. */
     fun offer(
         request: AdmissionRequest,
         nowMillis: Long,
     ): WaitingRequest {
-        val account = shares.getOrPut(request.customer) { CustomerShares(request.customer, request.plan) }
+        val account = accounts.getOrPut(request.customer) { CustomerShares(request.customer, request.plan) }
         account.plan = request.plan
         if (!request.resumes) account.onArrival(nowMillis)
         val model = models.getOrPut(request.model) { ModelQueue(request.model) }
-        val waiting = waitingRequest(request, account, model, nowMillis)
-        val reason = earlyRefusal(waiting, model, nowMillis)
+        val waiting = check.prepare(request, account, model, nowMillis)
+        val reason = check.refusal(waiting, model, this.waiting, nowMillis)
         if (reason == null) model.add(waiting) else refuse(waiting, reason)
         return waiting
     }
@@ -113,7 +114,7 @@
     /** Gives free places to waiting requests and refuses those that waited too long. */
     fun dispatch(nowMillis: Long) {
         val fleet = inputs.fleet()
-        shares.values.forEach { it.isShort = false }
+        accounts.values.forEach { it.isShort = false }
         models.values.forEach { dispatch(it, fleet, nowMillis) }
     }
 
@@ -144,71 +145,26 @@
         val heldMillis = nowMillis - place.startedAtMillis
         model.inProgress -= 1
         model.pace.onEnd(heldMillis, end.tokens, complete)
-        router.onFinish(place.replica.replica.id, place.startedAtMillis, nowMillis, requestEnd(end, heldMillis))
+        router.onFinish(place.replica.replica.id, place.startedAtMillis, nowMillis, end.forRouting(heldMillis))
     }
 
     /** Lets what is no longer needed go. */
     fun forget(nowMillis: Long) {
-        shares.values.removeIf { it.isIdle(nowMillis) }
+        accounts.values.removeIf { it.isIdle(nowMillis) }
         models.values.removeIf { it.size == 0 && it.inProgress == 0 }
         router.retain(inputs.fleet())
     }
 
-    internal fun accounts(): Collection<CustomerShares> = shares.values
-
-    internal fun account(customer: CustomerId): CustomerShares? = shares[customer]
-
-    private fun requestEnd(
-        end: PlaceEnd,
-        heldMillis: Long,
-    ): RequestEnd =
-        when (end.outcome) {
-            TicketOutcome.COMPLETED -> RequestEnd.Answered(end.tokens * MILLIS_PER_SECOND / heldMillis.coerceAtLeast(1))
-            TicketOutcome.CANCELLED -> RequestEnd.Cancelled
-            TicketOutcome.REPLICA_FAILED -> RequestEnd.Failed
-        }
-
-    private fun waitingRequest(
-        request: AdmissionRequest,
-        account: CustomerShares,
-        model: ModelQueue,
-        nowMillis: Long,
-    ): WaitingRequest {
-        val hold = model.pace.holdMillis(account.expectedTokens(request.maxTokens))
-        val firstToken = request.firstTokenBy.atMillis - model.pace.firstTokenMillis.toLong()
-        val latest =
-            if (request.resumes) {
-                request.answerBy.atMillis
-            } else {
-                minOf(
-                    firstToken,
-                    request.answerBy.atMillis - hold,
-                )
-            }
-        val shareBy = minOf(nowMillis + settings.shareWaitMillis, request.answerBy.atMillis)
-        return WaitingRequest(request, nowMillis, latest, shareBy, account)
-    }
-
-    private fun earlyRefusal(
-        waiting: WaitingRequest,
-        model: ModelQueue,
-        nowMillis: Long,
-    ): Reason? {
-        if (this.waiting >= settings.maxWaiting) return Reason.DEADLINE_UNREACHABLE
-        if (!settings.refuseEarly || waiting.request.resumes || model.size == 0) return null
-        val fair = fairPlaces(waiting.request.model, inputs.fleet())
-        val wait = model.waitMillis(waiting, maxOf(fair, model.inProgress.toDouble()))
-        return if (nowMillis + wait > waiting.latestStart) Reason.DEADLINE_UNREACHABLE else null
-    }
-
     private fun dispatch(
         model: ModelQueue,
         fleet: FleetView,
         nowMillis: Long,
     ) {
-        model.overdue(nowMillis).forEach { refuse(it, overdueReason(it, fleet), model) }
+        val known = fleet.replicas.any { it.replica.model == model.name }
+        val late = if (known) Reason.QUEUE_TIMEOUT else Reason.NO_REPLICA
+        model.overdue(nowMillis).forEach { refuse(it, late, model) }
         if (model.size == 0) return
-        val fair = fairPlaces(model.name, fleet)
+        val fair = check.fairPlaces(model.name, fleet)
         var full = false
         while (!full) {
             val next = model.next(nowMillis) ?: break
@@ -246,30 +202,8 @@
         waiting.onDecided()
     }
 
-    private fun overdueReason(
-        waiting: WaitingRequest,
-        fleet: FleetView,
-    ) = if (fleet.replicas.any {
-            it.replica.model == waiting.request.model
-        }
-    ) {
-        Reason.QUEUE_TIMEOUT
-    } else {
-        Reason.NO_REPLICA
-    }
-
-    /** This process's equal part of all places of [model]. */
-    private fun fairPlaces(
-        model: String,
-        fleet: FleetView,
-    ): Double {
-        val places = fleet.replicas.sumOf { if (it.replica.model == model) it.capacity else 0 }
-        return places.toDouble() / inputs.activeProcesses().coerceAtLeast(1)
-    }
-
     private companion object {
         const val EXTRA_PER_REPLICA = 2
-        const val MILLIS_PER_SECOND = 1_000.0
         const val RETRY_AFTER_SECONDS = 1L
         const val TOO_MANY = auburnhall.core.HttpStatus.TOO_MANY_REQUESTS
         const val UNAVAILABLE = auburnhall.core.HttpStatus.UNAVAILABLE
@@ -280,4 +214,15 @@
 data class PlaceEnd(
     val outcome: TicketOutcome,
     val tokens: Int,
-)
+) {
+    internal fun forRouting(heldMillis: Long): RequestEnd =
+        when (outcome) {
+            TicketOutcome.COMPLETED -> RequestEnd.Answered(tokens * MILLIS_PER_SECOND / heldMillis.coerceAtLeast(1))
+            TicketOutcome.CANCELLED -> RequestEnd.Cancelled
+            TicketOutcome.REPLICA_FAILED -> RequestEnd.Failed
+        }
+
+    private companion object {
+        const val MILLIS_PER_SECOND = 1_000.0
+    }
+}
--- /dev/null
+++ b/limits/src/main/kotlin/auburnhall/limits/ArrivalCheck.kt
@@ -0,0 +1,57 @@
+/*
+ * What is decided when a request arrives: until when it has to start, and whether there is any hope that it will.
+ */
+package auburnhall.limits
+
+import auburnhall.core.FleetView
+import auburnhall.core.Reason
+
+/** Sets the latest start of arriving requests and refuses those that could not be answered in time. */
+internal class ArrivalCheck(
+    private val settings: AdmissionSettings,
+    private val inputs: AdmissionInputs,
+) {
+    /** Prepares [request] for [model]'s queue. */
+    fun prepare(
+        request: AdmissionRequest,
+        account: CustomerShares,
+        model: ModelQueue,
+        nowMillis: Long,
+    ): WaitingRequest {
+        val hold = model.pace.holdMillis(account.expectedTokens(request.maxTokens))
+        val firstToken = request.firstTokenBy.atMillis - model.pace.firstTokenMillis.toLong()
+        val answer = request.answerBy.atMillis
+        val latest = if (request.resumes) answer else minOf(firstToken, answer - hold)
+        return WaitingRequest(request, nowMillis, latest, minOf(nowMillis + settings.shareWaitMillis, answer), account)
+    }
+
+    /** Returns why [request] is refused at once, when [waiting] requests wait here already; null when it is not. */
+    fun refusal(
+        request: WaitingRequest,
+        model: ModelQueue,
+        waiting: Int,
+        nowMillis: Long,
+    ): Reason? {
+        val hopeless = waiting >= settings.maxWaiting || isTooLate(request, model, nowMillis)
+        return if (hopeless) Reason.DEADLINE_UNREACHABLE else null
+    }
+
+    /** This process's equal part of all places of [model]. */
+    fun fairPlaces(
+        model: String,
+        fleet: FleetView,
+    ): Double {
+        val places = fleet.replicas.sumOf { if (it.replica.model == model) it.capacity else 0 }
+        return places.toDouble() / inputs.activeProcesses().coerceAtLeast(1)
+    }
+
+    private fun isTooLate(
+        request: WaitingRequest,
+        model: ModelQueue,
+        nowMillis: Long,
+    ): Boolean {
+        if (!settings.refuseEarly || request.request.resumes || model.size == 0) return false
+        val places = maxOf(fairPlaces(model.name, inputs.fleet()), model.inProgress.toDouble())
+        return nowMillis + model.waitMillis(request, places) > request.latestStart
+    }
+}
--- a/limits/src/main/kotlin/auburnhall/limits/LimitsController.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/LimitsController.kt
@@ -29,7 +29,7 @@
     private fun tick() {
         val view = ports.membership.view()
         val now = ports.clock.monotonicMillis()
-        val due = admission.locked { schedule.due(it.accounts(), now) }
+        val due = admission.locked { schedule.due(it.accounts.values, now) }
         due.groupBy { view.ownerOf(it.customer) }.forEach { (member, demands) -> ask(view, member, demands) }
     }
 
@@ -61,9 +61,15 @@
         val grants = (result as? BorrowResult.Granted)?.grants.orEmpty().associateBy { it.customer }
         admission.locked { queue ->
             demands.forEach { d ->
-                val account = queue.account(d.customer) ?: return@forEach
+                val account = queue.accounts[d.customer] ?: return@forEach
                 val grant = grants[d.customer]
-                if (grant == null) account.fallBack(equalSplit(d.customer), now) else account.lend(grant, sentAt)
+                if (grant ==
+                    null
+                ) {
+                    account.loans.fallBack(equalSplit(d.customer), now)
+                } else {
+                    account.loans.lend(grant, sentAt)
+                }
                 schedule.onAnswer(d, grant, now)
             }
         }
--- a/limits/src/main/kotlin/auburnhall/limits/ModelQueue.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/ModelQueue.kt
@@ -52,10 +52,12 @@
     fun remove(waiting: WaitingRequest) {
         val n = numbered.remove(waiting) ?: return
         waiting.shares.waiting -= 1
-        if (resumed.remove(n)) return
-        val queue = customers[waiting.request.customer] ?: return
-        queue.waiting.remove(n)
-        if (queue.waiting.isEmpty() && queue.finishTag <= virtualTime) customers.remove(waiting.request.customer)
+        resumed.remove(n)
+        val queue = customers[waiting.request.customer]
+        queue?.waiting?.remove(n)
+        if (queue != null && queue.waiting.isEmpty() && queue.finishTag <= virtualTime) {
+            customers.remove(waiting.request.customer)
+        }
     }
 
     /** The request to be served next; null when none waits that may start. */
--- a/routing/src/main/kotlin/auburnhall/routing/Router.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Router.kt
@@ -130,15 +130,23 @@
         nowMillis: Long,
         extra: Int?,
     ): RouteResult {
-        val present = fleet.replicas.filter { isPresent(it, request, nowMillis) }
-        val healthy = present.filterNot { health.isEjected(it.replica.id, nowMillis) }
-        val usable = if (healthy.size * 2 >= present.size) healthy else present
+        val usable = usable(fleet, request, nowMillis)
         if (usable.isEmpty()) return RouteResult.None
         val median = medianSpeed(usable)
         val candidates = usable.map { candidate(it, request, nowMillis, median) }
         val open = if (extra == null) candidates else candidates.filter { it.room + extra > 0 }
-        if (open.isEmpty()) return RouteResult.Full
-        return RouteResult.Chosen(scorer.choose(open, random).status)
+        return if (open.isEmpty()) RouteResult.Full else RouteResult.Chosen(scorer.choose(open, random).status)
+    }
+
+    /** Present replicas that are not ejected; all present ones when more than half are ejected. */
+    private fun usable(
+        fleet: FleetView,
+        request: RouteRequest,
+        nowMillis: Long,
+    ): List<ReplicaStatus> {
+        val present = fleet.replicas.filter { isPresent(it, request, nowMillis) }
+        val healthy = present.filterNot { health.isEjected(it.replica.id, nowMillis) }
+        return if (healthy.size * 2 >= present.size) healthy else present
     }
 
     override fun onStart(
