--- a/proto/src/main/java/auburnhall/proto/peer/PeerOuterClass.java
+++ b/proto/src/main/java/auburnhall/proto/peer/PeerOuterClass.java
@@ -31,6 +31,11 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_auburnhall_peer_HeartbeatRequest_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_auburnhall_peer_HeardProcess_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_auburnhall_peer_HeardProcess_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_auburnhall_peer_HeartbeatReply_descriptor;
   static final 
@@ -135,28 +140,33 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\017auburnhall.peer\"@\n\020Heartbe" +
-      "atRequest\022\024\n\014from_process\030\001 \001(\t\022\026\n\016confi" +
-      "g_version\030\002 \001(\003\"v\n\016HeartbeatReply\022\017\n\007pro" +
-      "cess\030\001 \001(\t\022\026\n\016config_version\030\002 \001(\003\022\024\n\014st" +
-      "ore_age_ms\030\003 \001(\003\022\020\n\010draining\030\004 \001(\010\022\023\n\013da" +
-      "ta_centre\030\005 \001(\t\"\024\n\022FetchConfigRequest\"R\n" +
-      "\020FetchConfigReply\022\026\n\016config_version\030\001 \001(" +
-      "\003\022\024\n\014store_age_ms\030\002 \001(\003\022\020\n\010document\030\003 \001(" +
-      "\014\"\'\n\020WatchLoadRequest\022\023\n\013data_centre\030\001 \001" +
-      "(\t\"e\n\nLoadReport\022\023\n\013data_centre\030\001 \001(\t\022\022\n" +
-      "\ncontroller\030\002 \001(\010\022.\n\010replicas\030\003 \003(\0132\034.au" +
-      "burnhall.peer.ReplicaLoad\"\362\001\n\013ReplicaLoa" +
-      "d\022\017\n\007replica\030\001 \001(\t\022\022\n\ngeneration\030\002 \001(\003\022\027" +
-      "\n\017presence_age_ms\030\003 \001(\003\022\017\n\007running\030\004 \001(\005" +
-      "\022\016\n\006queued\030\005 \001(\005\022\020\n\010capacity\030\006 \001(\005\022\020\n\010dr" +
-      "aining\030\007 \001(\010\022\031\n\021tokens_per_second\030\010 \001(\005\022" +
-      "\027\n\017accepts_fencing\030\t \001(\010\022\026\n\016leader_addre" +
-      "ss\030\n \001(\t\022\024\n\010prefixes\030\013 \003(\007B\002\020\001\"U\n\023Borrow" +
-      "SharesRequest\022\017\n\007process\030\001 \001(\t\022-\n\007demand" +
-      "s\030\002 \003(\0132\034.auburnhall.peer.ShareDemand\"U\n" +
-      "\013ShareDemand\022\020\n\010customer\030\001 \001(\t\022\020\n\010reques" +
-      "ts\030\002 \001(\001\022\016\n\006tokens\030\003 \001(\001\022\022\n\nconcurrent\030\004" +
+      "\n\npeer.proto\022\017auburnhall.peer\"\200\001\n\020Heartb" +
+      "eatRequest\022\024\n\014from_process\030\001 \001(\t\022\026\n\016conf" +
+      "ig_version\030\002 \001(\003\022\020\n\010draining\030\003 \001(\010\022,\n\005he" +
+      "ard\030\004 \003(\0132\035.auburnhall.peer.HeardProcess" +
+      "\"A\n\014HeardProcess\022\017\n\007process\030\001 \001(\t\022\016\n\006age" +
+      "_ms\030\002 \001(\003\022\020\n\010draining\030\003 \001(\010\"\244\001\n\016Heartbea" +
+      "tReply\022\017\n\007process\030\001 \001(\t\022\026\n\016config_versio" +
+      "n\030\002 \001(\003\022\024\n\014store_age_ms\030\003 \001(\003\022\020\n\010drainin" +
+      "g\030\004 \001(\010\022\023\n\013data_centre\030\005 \001(\t\022,\n\005heard\030\006 " +
+      "\003(\0132\035.auburnhall.peer.HeardProcess\"\024\n\022Fe" +
+      "tchConfigRequest\"R\n\020FetchConfigReply\022\026\n\016" +
+      "config_version\030\001 \001(\003\022\024\n\014store_age_ms\030\002 \001" +
+      "(\003\022\020\n\010document\030\003 \001(\014\"\'\n\020WatchLoadRequest" +
+      "\022\023\n\013data_centre\030\001 \001(\t\"e\n\nLoadReport\022\023\n\013d" +
+      "ata_centre\030\001 \001(\t\022\022\n\ncontroller\030\002 \001(\010\022.\n\010" +
+      "replicas\030\003 \003(\0132\034.auburnhall.peer.Replica" +
+      "Load\"\362\001\n\013ReplicaLoad\022\017\n\007replica\030\001 \001(\t\022\022\n" +
+      "\ngeneration\030\002 \001(\003\022\027\n\017presence_age_ms\030\003 \001" +
+      "(\003\022\017\n\007running\030\004 \001(\005\022\016\n\006queued\030\005 \001(\005\022\020\n\010c" +
+      "apacity\030\006 \001(\005\022\020\n\010draining\030\007 \001(\010\022\031\n\021token" +
+      "s_per_second\030\010 \001(\005\022\027\n\017accepts_fencing\030\t " +
+      "\001(\010\022\026\n\016leader_address\030\n \001(\t\022\024\n\010prefixes\030" +
+      "\013 \003(\007B\002\020\001\"U\n\023BorrowSharesRequest\022\017\n\007proc" +
+      "ess\030\001 \001(\t\022-\n\007demands\030\002 \003(\0132\034.auburnhall." +
+      "peer.ShareDemand\"j\n\013ShareDemand\022\020\n\010custo" +
+      "mer\030\001 \001(\t\022\020\n\010requests\030\002 \001(\001\022\016\n\006tokens\030\003 " +
+      "\001(\001\022\022\n\nconcurrent\030\004 \001(\005\022\023\n\013in_progress\030\005" +
       " \001(\005\"@\n\021BorrowSharesReply\022+\n\006grants\030\001 \003(" +
       "\0132\033.auburnhall.peer.ShareGrant\"f\n\nShareG" +
       "rant\022\020\n\010customer\030\001 \001(\t\022\020\n\010requests\030\002 \001(\001" +
@@ -216,117 +226,123 @@
     internal_static_auburnhall_peer_HeartbeatRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_HeartbeatRequest_descriptor,
-        new java.lang.String[] { "FromProcess", "ConfigVersion", });
-    internal_static_auburnhall_peer_HeartbeatReply_descriptor =
+        new java.lang.String[] { "FromProcess", "ConfigVersion", "Draining", "Heard", });
+    internal_static_auburnhall_peer_HeardProcess_descriptor =
       getDescriptor().getMessageType(1);
+    internal_static_auburnhall_peer_HeardProcess_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_auburnhall_peer_HeardProcess_descriptor,
+        new java.lang.String[] { "Process", "AgeMs", "Draining", });
+    internal_static_auburnhall_peer_HeartbeatReply_descriptor =
+      getDescriptor().getMessageType(2);
     internal_static_auburnhall_peer_HeartbeatReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_HeartbeatReply_descriptor,
-        new java.lang.String[] { "Process", "ConfigVersion", "StoreAgeMs", "Draining", "DataCentre", });
+        new java.lang.String[] { "Process", "ConfigVersion", "StoreAgeMs", "Draining", "DataCentre", "Heard", });
     internal_static_auburnhall_peer_FetchConfigRequest_descriptor =
-      getDescriptor().getMessageType(2);
+      getDescriptor().getMessageType(3);
     internal_static_auburnhall_peer_FetchConfigRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_FetchConfigRequest_descriptor,
         new java.lang.String[] { });
     internal_static_auburnhall_peer_FetchConfigReply_descriptor =
-      getDescriptor().getMessageType(3);
+      getDescriptor().getMessageType(4);
     internal_static_auburnhall_peer_FetchConfigReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_FetchConfigReply_descriptor,
         new java.lang.String[] { "ConfigVersion", "StoreAgeMs", "Document", });
     internal_static_auburnhall_peer_WatchLoadRequest_descriptor =
-      getDescriptor().getMessageType(4);
+      getDescriptor().getMessageType(5);
     internal_static_auburnhall_peer_WatchLoadRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_WatchLoadRequest_descriptor,
         new java.lang.String[] { "DataCentre", });
     internal_static_auburnhall_peer_LoadReport_descriptor =
-      getDescriptor().getMessageType(5);
+      getDescriptor().getMessageType(6);
     internal_static_auburnhall_peer_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_LoadReport_descriptor,
         new java.lang.String[] { "DataCentre", "Controller", "Replicas", });
     internal_static_auburnhall_peer_ReplicaLoad_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(7);
     internal_static_auburnhall_peer_ReplicaLoad_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_ReplicaLoad_descriptor,
         new java.lang.String[] { "Replica", "Generation", "PresenceAgeMs", "Running", "Queued", "Capacity", "Draining", "TokensPerSecond", "AcceptsFencing", "LeaderAddress", "Prefixes", });
     internal_static_auburnhall_peer_BorrowSharesRequest_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(8);
     internal_static_auburnhall_peer_BorrowSharesRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_BorrowSharesRequest_descriptor,
         new java.lang.String[] { "Process", "Demands", });
     internal_static_auburnhall_peer_ShareDemand_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(9);
     internal_static_auburnhall_peer_ShareDemand_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_ShareDemand_descriptor,
-        new java.lang.String[] { "Customer", "Requests", "Tokens", "Concurrent", });
+        new java.lang.String[] { "Customer", "Requests", "Tokens", "Concurrent", "InProgress", });
     internal_static_auburnhall_peer_BorrowSharesReply_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(10);
     internal_static_auburnhall_peer_BorrowSharesReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_BorrowSharesReply_descriptor,
         new java.lang.String[] { "Grants", });
     internal_static_auburnhall_peer_ShareGrant_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(11);
     internal_static_auburnhall_peer_ShareGrant_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_ShareGrant_descriptor,
         new java.lang.String[] { "Customer", "Requests", "Tokens", "Concurrent", "ValidMs", });
     internal_static_auburnhall_peer_ReserveIntentRequest_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(12);
     internal_static_auburnhall_peer_ReserveIntentRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_ReserveIntentRequest_descriptor,
         new java.lang.String[] { "Process", "Customer", "IdempotencyKey", "BodyDigest", "RequestId", });
     internal_static_auburnhall_peer_ReserveIntentReply_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(13);
     internal_static_auburnhall_peer_ReserveIntentReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_ReserveIntentReply_descriptor,
         new java.lang.String[] { "State", "DispatchWithinMs", "Answer", "FirstRequestId", "Reason", });
     internal_static_auburnhall_peer_RecordedAnswer_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(14);
     internal_static_auburnhall_peer_RecordedAnswer_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_RecordedAnswer_descriptor,
         new java.lang.String[] { "Status", "ContentType", "Body", });
     internal_static_auburnhall_peer_CompleteIntentRequest_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(15);
     internal_static_auburnhall_peer_CompleteIntentRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_CompleteIntentRequest_descriptor,
         new java.lang.String[] { "Customer", "IdempotencyKey", "RequestId", "Outcome", "Answer", });
     internal_static_auburnhall_peer_CompleteIntentReply_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(16);
     internal_static_auburnhall_peer_CompleteIntentReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_CompleteIntentReply_descriptor,
         new java.lang.String[] { "Recorded", "Reason", });
     internal_static_auburnhall_peer_KeepExplanationsRequest_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(17);
     internal_static_auburnhall_peer_KeepExplanationsRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_KeepExplanationsRequest_descriptor,
         new java.lang.String[] { "Records", });
     internal_static_auburnhall_peer_KeepExplanationsReply_descriptor =
-      getDescriptor().getMessageType(17);
+      getDescriptor().getMessageType(18);
     internal_static_auburnhall_peer_KeepExplanationsReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_KeepExplanationsReply_descriptor,
         new java.lang.String[] { });
     internal_static_auburnhall_peer_FindExplanationRequest_descriptor =
-      getDescriptor().getMessageType(18);
+      getDescriptor().getMessageType(19);
     internal_static_auburnhall_peer_FindExplanationRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_FindExplanationRequest_descriptor,
         new java.lang.String[] { "RequestId", });
     internal_static_auburnhall_peer_FindExplanationReply_descriptor =
-      getDescriptor().getMessageType(19);
+      getDescriptor().getMessageType(20);
     internal_static_auburnhall_peer_FindExplanationReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_FindExplanationReply_descriptor,
