Stamp load reports with the time they were made

A report that was held up on its way, or in a paused receiver, would otherwise count as fresh and let requests be routed to a replica whose members were last seen long ago.

--- a/proto/src/main/java/auburnhall/proto/peer/LoadReport.java
+++ b/proto/src/main/java/auburnhall/proto/peer/LoadReport.java
@@ -140,6 +140,22 @@
     return replicas_.get(index);
   }
 
+  public static final int AS_OF_MS_FIELD_NUMBER = 4;
+  private long asOfMs_ = 0L;
+  /**
+   * <pre>
+   * When the report was made, on the callee's monotonic clock, in milliseconds. The caller knows that the first report
+   * of a stream was made after it opened the stream; so it can tell a report that was held up from a fresh one.
+   * </pre>
+   *
+   * <code>int64 as_of_ms = 4;</code>
+   * @return The asOfMs.
+   */
+  @java.lang.Override
+  public long getAsOfMs() {
+    return asOfMs_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -163,6 +179,9 @@
     for (int i = 0; i < replicas_.size(); i++) {
       output.writeMessage(3, replicas_.get(i));
     }
+    if (asOfMs_ != 0L) {
+      output.writeInt64(4, asOfMs_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -183,6 +202,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(3, replicas_.get(i));
     }
+    if (asOfMs_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeInt64Size(4, asOfMs_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -204,6 +227,8 @@
         != other.getController()) return false;
     if (!getReplicasList()
         .equals(other.getReplicasList())) return false;
+    if (getAsOfMs()
+        != other.getAsOfMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -224,6 +249,9 @@
       hash = (37 * hash) + REPLICAS_FIELD_NUMBER;
       hash = (53 * hash) + getReplicasList().hashCode();
     }
+    hash = (37 * hash) + AS_OF_MS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getAsOfMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -364,6 +392,7 @@
         replicasBuilder_.clear();
       }
       bitField0_ = (bitField0_ & ~0x00000004);
+      asOfMs_ = 0L;
       return this;
     }
 
@@ -416,6 +445,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.controller_ = controller_;
       }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.asOfMs_ = asOfMs_;
+      }
     }
 
     @java.lang.Override
@@ -464,6 +496,9 @@
           }
         }
       }
+      if (other.getAsOfMs() != 0L) {
+        setAsOfMs(other.getAsOfMs());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -513,6 +548,11 @@
               }
               break;
             } // case 26
+            case 32: {
+              asOfMs_ = input.readInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -886,6 +926,53 @@
       return replicasBuilder_;
     }
 
+    private long asOfMs_ ;
+    /**
+     * <pre>
+     * When the report was made, on the callee's monotonic clock, in milliseconds. The caller knows that the first report
+     * of a stream was made after it opened the stream; so it can tell a report that was held up from a fresh one.
+     * </pre>
+     *
+     * <code>int64 as_of_ms = 4;</code>
+     * @return The asOfMs.
+     */
+    @java.lang.Override
+    public long getAsOfMs() {
+      return asOfMs_;
+    }
+    /**
+     * <pre>
+     * When the report was made, on the callee's monotonic clock, in milliseconds. The caller knows that the first report
+     * of a stream was made after it opened the stream; so it can tell a report that was held up from a fresh one.
+     * </pre>
+     *
+     * <code>int64 as_of_ms = 4;</code>
+     * @param value The asOfMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setAsOfMs(long value) {
+
+      asOfMs_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * When the report was made, on the callee's monotonic clock, in milliseconds. The caller knows that the first report
+     * of a stream was made after it opened the stream; so it can tell a report that was held up from a fresh one.
+     * </pre>
+     *
+     * <code>int64 as_of_ms = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearAsOfMs() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      asOfMs_ = 0L;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:auburnhall.peer.LoadReport)
   }
 
--- a/proto/src/main/java/auburnhall/proto/peer/LoadReportOrBuilder.java
+++ b/proto/src/main/java/auburnhall/proto/peer/LoadReportOrBuilder.java
@@ -55,4 +55,15 @@
    */
   auburnhall.proto.peer.ReplicaLoadOrBuilder getReplicasOrBuilder(
       int index);
+
+  /**
+   * <pre>
+   * When the report was made, on the callee's monotonic clock, in milliseconds. The caller knows that the first report
+   * of a stream was made after it opened the stream; so it can tell a report that was held up from a fresh one.
+   * </pre>
+   *
+   * <code>int64 as_of_ms = 4;</code>
+   * @return The asOfMs.
+   */
+  long getAsOfMs();
 }
--- a/proto/src/main/java/auburnhall/proto/peer/PeerOuterClass.java
+++ b/proto/src/main/java/auburnhall/proto/peer/PeerOuterClass.java
@@ -153,69 +153,69 @@
       "tchConfigRequest\"R\n\020FetchConfigReply\022\026\n\016" +
       "config_version\030\001 \001(\003\022\024\n\014store_age_ms\030\002 \001" +
       "(\003\022\020\n\010document\030\003 \001(\014\"\'\n\020WatchLoadRequest" +
-      "\022\023\n\013data_centre\030\001 \001(\t\"e\n\nLoadReport\022\023\n\013d" +
+      "\022\023\n\013data_centre\030\001 \001(\t\"w\n\nLoadReport\022\023\n\013d" +
       "ata_centre\030\001 \001(\t\022\022\n\ncontroller\030\002 \001(\010\022.\n\010" +
       "replicas\030\003 \003(\0132\034.auburnhall.peer.Replica" +
-      "Load\"\362\001\n\013ReplicaLoad\022\017\n\007replica\030\001 \001(\t\022\022\n" +
-      "\ngeneration\030\002 \001(\003\022\027\n\017presence_age_ms\030\003 \001" +
-      "(\003\022\017\n\007running\030\004 \001(\005\022\016\n\006queued\030\005 \001(\005\022\020\n\010c" +
-      "apacity\030\006 \001(\005\022\020\n\010draining\030\007 \001(\010\022\031\n\021token" +
-      "s_per_second\030\010 \001(\005\022\027\n\017accepts_fencing\030\t " +
-      "\001(\010\022\026\n\016leader_address\030\n \001(\t\022\024\n\010prefixes\030" +
-      "\013 \003(\007B\002\020\001\"U\n\023BorrowSharesRequest\022\017\n\007proc" +
-      "ess\030\001 \001(\t\022-\n\007demands\030\002 \003(\0132\034.auburnhall." +
-      "peer.ShareDemand\"j\n\013ShareDemand\022\020\n\010custo" +
-      "mer\030\001 \001(\t\022\020\n\010requests\030\002 \001(\001\022\016\n\006tokens\030\003 " +
-      "\001(\001\022\022\n\nconcurrent\030\004 \001(\005\022\023\n\013in_progress\030\005" +
-      " \001(\005\"@\n\021BorrowSharesReply\022+\n\006grants\030\001 \003(" +
-      "\0132\033.auburnhall.peer.ShareGrant\"f\n\nShareG" +
-      "rant\022\020\n\010customer\030\001 \001(\t\022\020\n\010requests\030\002 \001(\001" +
-      "\022\016\n\006tokens\030\003 \001(\001\022\022\n\nconcurrent\030\004 \001(\005\022\020\n\010" +
-      "valid_ms\030\005 \001(\003\"{\n\024ReserveIntentRequest\022\017" +
-      "\n\007process\030\001 \001(\t\022\020\n\010customer\030\002 \001(\t\022\027\n\017ide" +
-      "mpotency_key\030\003 \001(\t\022\023\n\013body_digest\030\004 \001(\t\022" +
-      "\022\n\nrequest_id\030\005 \001(\t\"\270\002\n\022ReserveIntentRep" +
-      "ly\0228\n\005state\030\001 \001(\0162).auburnhall.peer.Rese" +
-      "rveIntentReply.State\022\032\n\022dispatch_within_" +
-      "ms\030\002 \001(\003\022/\n\006answer\030\003 \001(\0132\037.auburnhall.pe" +
-      "er.RecordedAnswer\022\030\n\020first_request_id\030\004 " +
-      "\001(\t\022\016\n\006reason\030\005 \001(\t\"q\n\005State\022\017\n\013UNAVAILA" +
-      "BLE\020\000\022\013\n\007GRANTED\020\001\022\017\n\013IN_PROGRESS\020\002\022\020\n\014M" +
-      "AY_HAVE_RUN\020\003\022\010\n\004DONE\020\004\022\016\n\nKEY_REUSED\020\005\022" +
-      "\r\n\tNOT_OWNER\020\006\"D\n\016RecordedAnswer\022\016\n\006stat" +
-      "us\030\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003" +
-      " \001(\014\"\374\001\n\025CompleteIntentRequest\022\020\n\010custom" +
-      "er\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\022\n\nreq" +
-      "uest_id\030\003 \001(\t\022?\n\007outcome\030\004 \001(\0162..auburnh" +
-      "all.peer.CompleteIntentRequest.Outcome\022/" +
-      "\n\006answer\030\005 \001(\0132\037.auburnhall.peer.Recorde" +
-      "dAnswer\"2\n\007Outcome\022\013\n\007NOT_RUN\020\000\022\020\n\014MAY_H" +
-      "AVE_RUN\020\001\022\010\n\004DONE\020\002\"7\n\023CompleteIntentRep" +
-      "ly\022\020\n\010recorded\030\001 \001(\010\022\016\n\006reason\030\002 \001(\t\"*\n\027" +
-      "KeepExplanationsRequest\022\017\n\007records\030\001 \003(\014" +
-      "\"\027\n\025KeepExplanationsReply\",\n\026FindExplana" +
-      "tionRequest\022\022\n\nrequest_id\030\001 \001(\t\"\'\n\024FindE" +
-      "xplanationReply\022\017\n\007records\030\001 \003(\0142\335\005\n\004Pee" +
-      "r\022O\n\tHeartbeat\022!.auburnhall.peer.Heartbe" +
-      "atRequest\032\037.auburnhall.peer.HeartbeatRep" +
-      "ly\022U\n\013FetchConfig\022#.auburnhall.peer.Fetc" +
-      "hConfigRequest\032!.auburnhall.peer.FetchCo" +
-      "nfigReply\022M\n\tWatchLoad\022!.auburnhall.peer" +
-      ".WatchLoadRequest\032\033.auburnhall.peer.Load" +
-      "Report0\001\022X\n\014BorrowShares\022$.auburnhall.pe" +
-      "er.BorrowSharesRequest\032\".auburnhall.peer" +
-      ".BorrowSharesReply\022[\n\rReserveIntent\022%.au" +
-      "burnhall.peer.ReserveIntentRequest\032#.aub" +
-      "urnhall.peer.ReserveIntentReply\022^\n\016Compl" +
-      "eteIntent\022&.auburnhall.peer.CompleteInte" +
-      "ntRequest\032$.auburnhall.peer.CompleteInte" +
-      "ntReply\022d\n\020KeepExplanations\022(.auburnhall" +
-      ".peer.KeepExplanationsRequest\032&.auburnha" +
-      "ll.peer.KeepExplanationsReply\022a\n\017FindExp" +
-      "lanation\022\'.auburnhall.peer.FindExplanati" +
-      "onRequest\032%.auburnhall.peer.FindExplanat" +
-      "ionReplyB\031\n\025auburnhall.proto.peerP\001b\006pro" +
-      "to3"
+      "Load\022\020\n\010as_of_ms\030\004 \001(\003\"\362\001\n\013ReplicaLoad\022\017" +
+      "\n\007replica\030\001 \001(\t\022\022\n\ngeneration\030\002 \001(\003\022\027\n\017p" +
+      "resence_age_ms\030\003 \001(\003\022\017\n\007running\030\004 \001(\005\022\016\n" +
+      "\006queued\030\005 \001(\005\022\020\n\010capacity\030\006 \001(\005\022\020\n\010drain" +
+      "ing\030\007 \001(\010\022\031\n\021tokens_per_second\030\010 \001(\005\022\027\n\017" +
+      "accepts_fencing\030\t \001(\010\022\026\n\016leader_address\030" +
+      "\n \001(\t\022\024\n\010prefixes\030\013 \003(\007B\002\020\001\"U\n\023BorrowSha" +
+      "resRequest\022\017\n\007process\030\001 \001(\t\022-\n\007demands\030\002" +
+      " \003(\0132\034.auburnhall.peer.ShareDemand\"j\n\013Sh" +
+      "areDemand\022\020\n\010customer\030\001 \001(\t\022\020\n\010requests\030" +
+      "\002 \001(\001\022\016\n\006tokens\030\003 \001(\001\022\022\n\nconcurrent\030\004 \001(" +
+      "\005\022\023\n\013in_progress\030\005 \001(\005\"@\n\021BorrowSharesRe" +
+      "ply\022+\n\006grants\030\001 \003(\0132\033.auburnhall.peer.Sh" +
+      "areGrant\"f\n\nShareGrant\022\020\n\010customer\030\001 \001(\t" +
+      "\022\020\n\010requests\030\002 \001(\001\022\016\n\006tokens\030\003 \001(\001\022\022\n\nco" +
+      "ncurrent\030\004 \001(\005\022\020\n\010valid_ms\030\005 \001(\003\"{\n\024Rese" +
+      "rveIntentRequest\022\017\n\007process\030\001 \001(\t\022\020\n\010cus" +
+      "tomer\030\002 \001(\t\022\027\n\017idempotency_key\030\003 \001(\t\022\023\n\013" +
+      "body_digest\030\004 \001(\t\022\022\n\nrequest_id\030\005 \001(\t\"\270\002" +
+      "\n\022ReserveIntentReply\0228\n\005state\030\001 \001(\0162).au" +
+      "burnhall.peer.ReserveIntentReply.State\022\032" +
+      "\n\022dispatch_within_ms\030\002 \001(\003\022/\n\006answer\030\003 \001" +
+      "(\0132\037.auburnhall.peer.RecordedAnswer\022\030\n\020f" +
+      "irst_request_id\030\004 \001(\t\022\016\n\006reason\030\005 \001(\t\"q\n" +
+      "\005State\022\017\n\013UNAVAILABLE\020\000\022\013\n\007GRANTED\020\001\022\017\n\013" +
+      "IN_PROGRESS\020\002\022\020\n\014MAY_HAVE_RUN\020\003\022\010\n\004DONE\020" +
+      "\004\022\016\n\nKEY_REUSED\020\005\022\r\n\tNOT_OWNER\020\006\"D\n\016Reco" +
+      "rdedAnswer\022\016\n\006status\030\001 \001(\005\022\024\n\014content_ty" +
+      "pe\030\002 \001(\t\022\014\n\004body\030\003 \001(\014\"\374\001\n\025CompleteInten" +
+      "tRequest\022\020\n\010customer\030\001 \001(\t\022\027\n\017idempotenc" +
+      "y_key\030\002 \001(\t\022\022\n\nrequest_id\030\003 \001(\t\022?\n\007outco" +
+      "me\030\004 \001(\0162..auburnhall.peer.CompleteInten" +
+      "tRequest.Outcome\022/\n\006answer\030\005 \001(\0132\037.aubur" +
+      "nhall.peer.RecordedAnswer\"2\n\007Outcome\022\013\n\007" +
+      "NOT_RUN\020\000\022\020\n\014MAY_HAVE_RUN\020\001\022\010\n\004DONE\020\002\"7\n" +
+      "\023CompleteIntentReply\022\020\n\010recorded\030\001 \001(\010\022\016" +
+      "\n\006reason\030\002 \001(\t\"*\n\027KeepExplanationsReques" +
+      "t\022\017\n\007records\030\001 \003(\014\"\027\n\025KeepExplanationsRe" +
+      "ply\",\n\026FindExplanationRequest\022\022\n\nrequest" +
+      "_id\030\001 \001(\t\"\'\n\024FindExplanationReply\022\017\n\007rec" +
+      "ords\030\001 \003(\0142\335\005\n\004Peer\022O\n\tHeartbeat\022!.aubur" +
+      "nhall.peer.HeartbeatRequest\032\037.auburnhall" +
+      ".peer.HeartbeatReply\022U\n\013FetchConfig\022#.au" +
+      "burnhall.peer.FetchConfigRequest\032!.aubur" +
+      "nhall.peer.FetchConfigReply\022M\n\tWatchLoad" +
+      "\022!.auburnhall.peer.WatchLoadRequest\032\033.au" +
+      "burnhall.peer.LoadReport0\001\022X\n\014BorrowShar" +
+      "es\022$.auburnhall.peer.BorrowSharesRequest" +
+      "\032\".auburnhall.peer.BorrowSharesReply\022[\n\r" +
+      "ReserveIntent\022%.auburnhall.peer.ReserveI" +
+      "ntentRequest\032#.auburnhall.peer.ReserveIn" +
+      "tentReply\022^\n\016CompleteIntent\022&.auburnhall" +
+      ".peer.CompleteIntentRequest\032$.auburnhall" +
+      ".peer.CompleteIntentReply\022d\n\020KeepExplana" +
+      "tions\022(.auburnhall.peer.KeepExplanations" +
+      "Request\032&.auburnhall.peer.KeepExplanatio" +
+      "nsReply\022a\n\017FindExplanation\022\'.auburnhall." +
+      "peer.FindExplanationRequest\032%.auburnhall" +
+      ".peer.FindExplanationReplyB\031\n\025auburnhall" +
+      ".proto.peerP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -262,7 +262,7 @@
     internal_static_auburnhall_peer_LoadReport_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_LoadReport_descriptor,
-        new java.lang.String[] { "DataCentre", "Controller", "Replicas", });
+        new java.lang.String[] { "DataCentre", "Controller", "Replicas", "AsOfMs", });
     internal_static_auburnhall_peer_ReplicaLoad_descriptor =
       getDescriptor().getMessageType(7);
     internal_static_auburnhall_peer_ReplicaLoad_fieldAccessorTable = new
