Serve a chat completion end to end through separate processes

Cause: the stand-in engine took its instance's name before its command line was read, so it never led a replica and refused every request; the gateway then tried both replicas and waited. Ruled out: limits (grants were lent) and the fleet view (both replicas listed). Orders are still refused; the first request of a customer is refused with reason concurrency, which comes next.

--- a/standin/src/main/kotlin/auburnhall/standin/engine/EngineCommand.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/engine/EngineCommand.kt
@@ -25,7 +25,7 @@
 class EngineCommand : StandinCommand {
     override val options = EngineOptions()
     private val caller = HttpCaller()
-    private val engine = StandinEngine(options, ::loadWeights)
+    private val engine by lazy { StandinEngine(options, ::loadWeights) }
 
     override fun run() {
         val server = HttpServer(ServerSettings(options.host, options.port), engine.handler)
