--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -3,13 +3,13 @@
  */
 package auburnhall.entry
 
+import auburnhall.config.ConfigView
 import auburnhall.core.Clock
 import auburnhall.core.ControlLoop
 import auburnhall.core.CustomerId
 import auburnhall.core.Plan
 import auburnhall.core.ProcessId
 import auburnhall.core.deadlineIn
-import auburnhall.config.ConfigView
 import auburnhall.engine.EngineClient
 import auburnhall.engine.InstanceList
 import auburnhall.explain.ExplanationLog
@@ -187,7 +187,8 @@
     ) {
         val until = clock.deadlineIn(seconds * MILLIS_PER_SECOND)
         while (condition() && !until.hasPassed(clock.monotonicMillis())) {
-            java.util.concurrent.locks.LockSupport.parkNanos(WAIT_NANOS)
+            java.util.concurrent.locks.LockSupport
+                .parkNanos(WAIT_NANOS)
         }
     }
 
--- a/peer/src/main/kotlin/auburnhall/peer/PeerMessages.kt
+++ b/peer/src/main/kotlin/auburnhall/peer/PeerMessages.kt
@@ -75,8 +75,7 @@
         .setInProgress(inProgress)
         .build()
 
-internal fun ShareDemandMessage.toDemand() =
-    ShareDemand(CustomerId(customer), requests, tokens, concurrent, inProgress)
+internal fun ShareDemandMessage.toDemand() = ShareDemand(CustomerId(customer), requests, tokens, concurrent, inProgress)
 
 internal fun ShareGrant.toMessage(): ShareGrantMessage =
     ShareGrantMessage
