--- a/config/src/test/kotlin/auburnhall/config/ConfigFaultTest.kt
+++ b/config/src/test/kotlin/auburnhall/config/ConfigFaultTest.kt
@@ -54,7 +54,10 @@
     ): ApplyResult {
         val id = "change-$node-$expected"
         val command = ApplyCommand("ana", id, expected, "", ListFiles("{}", "{}"))
-        return fleet.nodes[node].operators.apply(command).also { fleet.history.told(id, it) }
+        return fleet.nodes[node]
+            .operators
+            .apply(command)
+            .also { fleet.history.told(id, it) }
     }
 
     private companion object {
