--- a/replica/src/main/kotlin/auburnhall/replica/ControlFeed.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ControlFeed.kt
@@ -44,43 +44,50 @@
     val revision: Long,
 )
 
+/** Is told of the keys under [Keys.CONTROL], on the control thread. */
+interface ControlKeyListener {
+    /** All keys, read anew; what is missing from [entries] was deleted. */
+    fun onSnapshot(entries: List<StoreEntry>)
+
+    /** One key was written. */
+    fun onPut(entry: StoreEntry)
+
+    /** One key was deleted. */
+    fun onDelete(key: String)
+}
+
 /** Keeps the newest table of each data centre and the newest drain list. Used on the control thread only. */
-internal class ControlFeed {
+internal class ControlFeed : ControlKeyListener {
     private val tables = HashMap<DataCentreId, StoredTable>()
     private var drains = DrainList()
     private var drainsRevision = 0L
 
+    /** Called whenever something has changed. */
+    var onChange: () -> Unit = {}
+
     /** Whether a snapshot has been seen; before, an absent table means nothing. */
     var isReady = false
         private set
 
-    /** Takes in all keys, read anew. What is missing from [entries] was deleted. */
-    fun onSnapshot(entries: List<StoreEntry>) {
+    override fun onSnapshot(entries: List<StoreEntry>) {
         val keys = entries.map { it.key }.toSet()
         tables.keys.filter { Keys.assignment(it) !in keys }.forEach { tables.remove(it) }
-        if (Keys.DRAINS !in keys) onDelete(Keys.DRAINS)
-        entries.forEach { onPut(it) }
+        if (Keys.DRAINS !in keys) drains = DrainList()
+        entries.forEach { put(it) }
         isReady = true
+        onChange()
     }
 
-    /** Takes in one write; false when it is of no interest or older than what is known. */
-    fun onPut(entry: StoreEntry): Boolean =
-        when {
-            entry.key == Keys.DRAINS -> putDrains(entry)
-            entry.key.startsWith(Keys.ASSIGNMENTS) -> putTable(entry)
-            else -> false
-        }
+    override fun onPut(entry: StoreEntry) {
+        put(entry)
+        onChange()
+    }
 
-    /** Takes in one deletion; false when it is of no interest. */
-    fun onDelete(key: String): Boolean =
-        when {
-            key == Keys.DRAINS -> {
-                drains = DrainList()
-                true
-            }
-            key.startsWith(Keys.ASSIGNMENTS) -> tables.remove(DataCentreId(key.removePrefix(Keys.ASSIGNMENTS))) != null
-            else -> false
-        }
+    override fun onDelete(key: String) {
+        if (key == Keys.DRAINS) drains = DrainList()
+        if (key.startsWith(Keys.ASSIGNMENTS)) tables.remove(DataCentreId(key.removePrefix(Keys.ASSIGNMENTS)))
+        onChange()
+    }
 
     /** The newest table of [dataCentre] and its revision; null when there is none. */
     fun stored(dataCentre: DataCentreId): StoredTable? = tables[dataCentre]
@@ -91,18 +98,21 @@
     /** Instances that operators want left alone. */
     fun drained(): Set<InstanceId> = drains.drains.map { it.instance }.toSet()
 
-    private fun putDrains(entry: StoreEntry): Boolean {
-        if (entry.revision <= drainsRevision) return false
-        drains = TableCodec.drains(entry.value) ?: return false
+    private fun put(entry: StoreEntry) {
+        if (entry.key == Keys.DRAINS && entry.revision > drainsRevision) putDrains(entry)
+        if (entry.key.startsWith(Keys.ASSIGNMENTS)) putTable(entry)
+    }
+
+    private fun putDrains(entry: StoreEntry) {
+        drains = TableCodec.drains(entry.value) ?: return
         drainsRevision = entry.revision
-        return true
     }
 
-    private fun putTable(entry: StoreEntry): Boolean {
-        val table = TableCodec.table(entry.value) ?: return false
+    private fun putTable(entry: StoreEntry) {
+        val table = TableCodec.table(entry.value) ?: return
         val known = tables[table.dataCentre]
-        if (known != null && known.revision >= entry.revision) return false
-        tables[table.dataCentre] = StoredTable(table, entry.revision)
-        return true
+        if (known == null || known.revision < entry.revision) {
+            tables[table.dataCentre] = StoredTable(table, entry.revision)
+        }
     }
 }
--- a/replica/src/main/kotlin/auburnhall/replica/EngineFleet.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/EngineFleet.kt
@@ -1,6 +1,5 @@
 /*
- * The engines of one data centre as a controller sees them: the platform's list, their polled health, and the inputs
- * that the pure decisions need of them.
+ * The engines of one data centre as a controller sees them: the platform's list and their polled health.
  */
 package auburnhall.replica
 
@@ -11,24 +10,8 @@
 import auburnhall.core.ListedInstance
 import auburnhall.core.ListedState
 import auburnhall.core.Replica
-import auburnhall.core.ReplicaState
-import auburnhall.core.UsageList
 import auburnhall.engine.StatusResult
 
-/**
- * What placement needs beside the engines.
- *
- * @property tables the assignment tables of all data centres.
- * @property losses replicas of each model lost to failures and not replaced.
- * @property uncertain instances at which an order may still arrive.
- */
-internal data class PlacementRequest(
-    val usage: UsageList,
-    val tables: Map<DataCentreId, AssignmentTable>,
-    val losses: Map<String, Int>,
-    val uncertain: Set<InstanceId>,
-)
-
 /** The engines of [dataCentre]; used on the control thread. */
 internal class EngineFleet(
     private val dataCentre: DataCentreId,
@@ -100,6 +83,9 @@
             watched.mapValues { it.value.address },
             watched.filterValues { !it.honoursFencing }.keys,
             leaving(),
+            listed.mapValues { it.value.fabricDomain },
+            engineCounts,
+            environment.maxForming,
         )
 
     /** What changing a table needs to know of the engines. */
@@ -110,64 +96,6 @@
         return StepContext(assigned.keys - safe.toSet(), generations)
     }
 
-    /** What [review] needs. */
-    fun reviewState(
-        table: AssignmentTable,
-        tenure: Tenure,
-    ): ReviewState =
-        ReviewState(
-            nowMillis = clock.monotonicMillis(),
-            table = table,
-            health = book.all,
-            since = tenure.since(),
-            quarantinedSince = tenure.quarantinedSince(),
-            leaving = leaving(),
-            stragglers = emptySet(),
-            listed = listed.keys,
-        )
-
-    /** What [plan] needs. */
-    fun placementState(
-        table: AssignmentTable,
-        request: PlacementRequest,
-    ): PlacementState {
-        val now = clock.monotonicMillis()
-        val used = table.replicas.flatMap { it.members } + table.quarantined.map { it.instance } + request.uncertain
-        val free = listed.keys - used.toSet() - leaving()
-        return PlacementState(
-            table = table,
-            free = free.filter { isUsable(it, now) }.toSet(),
-            domains = listed.mapValues { it.value.fabricDomain },
-            needs = needs(request),
-            idle =
-                table.replicas
-                    .filter { isIdle(it, now) }
-                    .map { it.id }
-                    .toSet(),
-            maxForming = environment.maxForming,
-        )
-    }
-
-    private fun needs(request: PlacementRequest): List<ModelNeed> =
-        request.usage.models.map { spec ->
-            val total = request.tables.values.sumOf { t -> t.replicas.count { it.model == spec.name } }
-            val share = replicaShares(spec, engineCounts)[dataCentre] ?: 0
-            ModelNeed(spec, share, total, request.losses[spec.name] ?: 0)
-        }
-
-    private fun isUsable(
-        instance: InstanceId,
-        now: Long,
-    ): Boolean = book.all[instance]?.let { it.isPresent(now) && it.isIdle } ?: false
-
-    private fun isIdle(
-        replica: Replica,
-        now: Long,
-    ): Boolean {
-        val since = book.all[replica.leader]?.idleSince ?: return false
-        return replica.state == ReplicaState.SERVING && now - since >= IDLE_MILLIS
-    }
-
     private fun leaving(): Set<InstanceId> {
         val byPlatform = watched.filterValues { it.state == ListedState.LEAVING }.keys
         return drained + byPlatform + book.all.filterValues { it.status?.leaving ?: false }.keys
@@ -188,7 +116,6 @@
     }
 
     private companion object {
-        const val IDLE_MILLIS = 30_000L
         const val BLIND_DIVISOR = 4
     }
 }
--- a/replica/src/main/kotlin/auburnhall/replica/FleetViewController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/FleetViewController.kt
@@ -16,23 +16,12 @@
 import auburnhall.core.ReplicaState
 import auburnhall.core.ReplicaStatus
 import auburnhall.core.ServiceInstance
-import auburnhall.store.Keys
-import auburnhall.store.StoreEntry
 
 /** Keeps the [FleetView] of one entry process. Inputs come on the control thread; [view] may be read on any. */
-interface FleetViewController {
+interface FleetViewController : ControlKeyListener {
     /** The latest view; never blocks. */
     fun view(): FleetView
 
-    /** All keys under [Keys.CONTROL], read anew. */
-    fun onSnapshot(entries: List<StoreEntry>)
-
-    /** One key under [Keys.CONTROL] was written. */
-    fun onPut(entry: StoreEntry)
-
-    /** One key under [Keys.CONTROL] was deleted. */
-    fun onDelete(key: String)
-
     /** The platform's list was read. */
     fun onInstanceList(instances: List<ListedInstance>)
 
@@ -68,33 +57,43 @@
     inputs: FleetInputs,
     nowMillis: Long,
 ): FleetView {
-    val replicas = inputs.tables.values.flatMap { t -> t.replicas.mapNotNull { status(it, t.dataCentre, inputs) } }
-    val services = inputs.instances.filter { it.state == ListedState.LIVE && it.id !in inputs.drained }
+    val (live, leaving) = inputs.instances.partition { it.state == ListedState.LIVE }
+    val unwanted = inputs.drained + leaving.map { it.id }
+    val replicas = inputs.tables.values.flatMap { replicas(it, inputs.loads[it.dataCentre], unwanted) }
     return FleetView(
         replicas.filterNot { it.presentUntil.hasPassed(nowMillis) },
-        services.mapNotNull { service(it) },
+        live.filter { it.id !in unwanted }.mapNotNull { service(it) },
     )
 }
 
+private fun replicas(
+    table: AssignmentTable,
+    timed: TimedLoad?,
+    unwanted: Set<InstanceId>,
+): List<ReplicaStatus> {
+    if (timed == null) return emptyList()
+    val loads = timed.load.replicas.associateBy { it.replica to it.generation }
+    return table.replicas
+        .filter { r -> r.state == ReplicaState.SERVING && r.members.none { it in unwanted } }
+        .mapNotNull { r -> loads[r.id to r.generation]?.let { status(r, table.dataCentre, it, timed.madeAtMillis) } }
+}
+
 private fun status(
     replica: Replica,
     dataCentre: DataCentreId,
-    inputs: FleetInputs,
+    load: ReplicaLoad,
+    madeAt: Long,
 ): ReplicaStatus? {
-    val timed = inputs.loads[dataCentre] ?: return null
-    val load = timed.load.replicas.find { it.replica == replica.id && it.generation == replica.generation }
-    val serving = replica.state == ReplicaState.SERVING && load != null && !load.draining
-    if (!serving || load.presenceAgeMillis == ReplicaLoad.NEVER_PRESENT) return null
-    val until = timed.madeAtMillis - load.presenceAgeMillis + ReplicaTiming.PRESENCE_MILLIS
+    if (load.draining || load.presenceAgeMillis == ReplicaLoad.NEVER_PRESENT) return null
     return ReplicaStatus(
         replica = replica,
         dataCentre = dataCentre,
         leaderAddress = load.leaderAddress,
-        presentUntil = Deadline(until),
+        presentUntil = Deadline(madeAt - load.presenceAgeMillis + ReplicaTiming.PRESENCE_MILLIS),
         capacity = load.capacity,
         running = load.running,
         queued = load.queued,
-        reportedAt = timed.madeAtMillis,
+        reportedAt = madeAt,
         tokensPerSecond = load.tokensPerSecond,
         prefixes = load.prefixes.toSet(),
     )
@@ -108,27 +107,19 @@
 
 internal class RealFleetViewController(
     private val clock: Clock,
-) : FleetViewController {
-    private val feed = ControlFeed()
+    private val feed: ControlFeed = ControlFeed(),
+) : FleetViewController,
+    ControlKeyListener by feed {
     private var inputs = FleetInputs()
 
     @Volatile
     private var published = FleetView()
 
-    override fun view(): FleetView = published
-
-    override fun onSnapshot(entries: List<StoreEntry>) {
-        feed.onSnapshot(entries)
-        onFeed()
-    }
-
-    override fun onPut(entry: StoreEntry) {
-        if (feed.onPut(entry)) onFeed()
+    init {
+        feed.onChange = ::onFeed
     }
 
-    override fun onDelete(key: String) {
-        if (feed.onDelete(key)) onFeed()
-    }
+    override fun view(): FleetView = published
 
     override fun onInstanceList(instances: List<ListedInstance>) {
         inputs = inputs.copy(instances = instances)
--- a/replica/src/main/kotlin/auburnhall/replica/InstanceHealth.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/InstanceHealth.kt
@@ -14,6 +14,7 @@
  *
  * @property askedSince when the instance was first asked; silence is counted from here until it answers.
  * @property aliveAt when the request that was answered last had been sent; null before the first answer.
+ * @property answeringSince since when it has answered without a gap of [ReplicaTiming.PRESENCE_MILLIS] or a restart.
  * @property roundTripMillis smoothed time to answer.
  * @property lostGeneration replicas up to this generation have lost the instance's state, because it restarted.
  * @property missingSince since when the instance reports that it cannot reach another member; null while it can.
@@ -22,6 +23,7 @@
 data class InstanceHealth(
     val askedSince: Long,
     val aliveAt: Long? = null,
+    val answeringSince: Long? = null,
     val status: EngineStatus? = null,
     val roundTripMillis: Long = 0,
     val lostGeneration: Long = 0,
@@ -65,8 +67,10 @@
         val restarted = before != null && before.incarnation != status.incarnation
         val held = maxOf(before?.generation ?: 0, assigned?.generation ?: 0)
         val took = now - sentAt
+        val unbroken = !restarted && isPresent(sentAt)
         return copy(
             aliveAt = sentAt,
+            answeringSince = if (unbroken) answeringSince else sentAt,
             status = status,
             roundTripMillis = if (aliveAt == null) took else (roundTripMillis * SMOOTHING + took) / (SMOOTHING + 1),
             lostGeneration = if (restarted) maxOf(lostGeneration, held) else lostGeneration,
--- a/replica/src/main/kotlin/auburnhall/replica/LoadReport.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/LoadReport.kt
@@ -5,7 +5,6 @@
 
 import auburnhall.core.AssignmentTable
 import auburnhall.core.DataCentreId
-import auburnhall.core.InstanceId
 import auburnhall.core.Replica
 import auburnhall.core.ReplicaId
 import auburnhall.core.ReplicaState
@@ -76,19 +75,6 @@
     }
 }
 
-/**
- * What is known of the engines of a data centre at [nowMillis].
- *
- * @property leaving instances that operators, the platform or the engines themselves want left alone.
- */
-internal data class EngineView(
-    val nowMillis: Long,
-    val health: Map<InstanceId, InstanceHealth>,
-    val addresses: Map<InstanceId, String>,
-    val ignoringFencing: Set<InstanceId>,
-    val leaving: Set<InstanceId>,
-)
-
 /** The report about every replica of [table] that is not forming. */
 internal fun loadOf(
     table: AssignmentTable,
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaShares.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaShares.kt
@@ -18,8 +18,8 @@
     val shares = engines.keys.associateWithTo(sortedMapOf()) { 0 }
     repeat(spec.replicas) {
         val open = shares.keys.filter { (shares.getValue(it) + 1) * spec.instancesPerReplica <= engines.getValue(it) }
-        val next = open.maxByOrNull { engines.getValue(it).toDouble() / (shares.getValue(it) + 1) } ?: return shares
-        shares[next] = shares.getValue(next) + 1
+        val next = open.maxByOrNull { engines.getValue(it).toDouble() / (shares.getValue(it) + 1) }
+        if (next != null) shares[next] = shares.getValue(next) + 1
     }
     return shares
 }
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaReview.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Review.kt
@@ -3,38 +3,10 @@
  */
 package auburnhall.replica
 
-import auburnhall.core.AssignmentTable
-import auburnhall.core.InstanceId
 import auburnhall.core.Replica
-import auburnhall.core.ReplicaId
 import auburnhall.core.ReplicaState
 import auburnhall.engine.EngineState
 
-/**
- * Everything that [review] judges by. Times are monotonic milliseconds.
- *
- * @property since when this controller first saw each replica in its present state.
- * @property quarantinedSince when this controller first saw each quarantined instance in the table.
- * @property leaving instances that operators, the platform or the engines themselves want left alone.
- * @property stragglers members that are much slower than their peers.
- * @property listed instances in the platform's list.
- */
-internal data class ReviewState(
-    val nowMillis: Long,
-    val table: AssignmentTable,
-    val health: Map<InstanceId, InstanceHealth>,
-    val since: Map<ReplicaId, Long>,
-    val quarantinedSince: Map<InstanceId, Long>,
-    val leaving: Set<InstanceId>,
-    val stragglers: Set<InstanceId>,
-    val listed: Set<InstanceId>,
-) {
-    fun health(instance: InstanceId): InstanceHealth = health[instance] ?: InstanceHealth(nowMillis)
-
-    /** Milliseconds that [replica] has been in its present state, as far as this controller knows. */
-    fun ageMillis(replica: Replica): Long = nowMillis - (since[replica.id] ?: nowMillis)
-}
-
 /** The steps that the members' own words call for. */
 internal fun review(state: ReviewState): List<PlacementStep> =
     state.table.replicas.mapNotNull { review(it, state) } + endedQuarantines(state)
@@ -123,20 +95,3 @@
     replica: Replica,
     reason: StepReason,
 ) = PlacementStep.Dissolve(replica.id, reason)
-
-/** Quarantine ends once the instance says that it is idle, after every order and request to it has arrived. */
-private fun endedQuarantines(state: ReviewState): List<PlacementStep> =
-    state.table.quarantined
-        .map { it.instance }
-        .filter { hasEnded(it, state) }
-        .map { PlacementStep.EndQuarantine(it) }
-
-private fun hasEnded(
-    instance: InstanceId,
-    state: ReviewState,
-): Boolean {
-    val endsAt = (state.quarantinedSince[instance] ?: state.nowMillis) + ReplicaTiming.QUARANTINE_MILLIS
-    val health = state.health[instance]
-    val gone = instance !in state.listed && state.nowMillis > endsAt
-    return gone || (health != null && health.isIdle && (health.aliveAt ?: Long.MIN_VALUE) > endsAt)
-}
--- a/replica/src/main/kotlin/auburnhall/replica/Tenure.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Tenure.kt
@@ -27,8 +27,9 @@
     private var confirmedAt = Long.MIN_VALUE
     private val since = HashMap<ReplicaId, StateSince>()
     private val quarantinedSince = HashMap<InstanceId, Long>()
-    private val reasons = HashMap<ReplicaId, StepReason>()
-    private val losses = HashMap<String, Int>()
+
+    /** Replicas that failures took in this time of control. */
+    val losses = ReplicaLosses()
 
     /** Whether the newest table known names this process as its controller. */
     val isHeld: Boolean get() = known?.controller == self
@@ -49,15 +50,12 @@
     /** Since when each quarantined instance has been in the table. */
     fun quarantinedSince(): Map<InstanceId, Long> = quarantinedSince
 
-    /** Replicas of each model that failures took and that were not replaced yet. */
-    fun losses(): Map<String, Int> = losses
-
     /** Takes in the newest table. */
     fun onTable(table: AssignmentTable?) {
         val before = known
         known = table
         if (before?.term != table?.term || before?.controller != table?.controller) onController(table)
-        if (isHeld && before != null && table != null) countLosses(before, table)
+        if (isHeld && before != null && table != null) losses.onTable(before, table)
         follow(table ?: return)
     }
 
@@ -66,24 +64,15 @@
         if (isHeld) confirmedAt = maxOf(confirmedAt, sentAt)
     }
 
-    /** Remembers why replicas go. */
-    fun onSteps(steps: List<PlacementStep>) {
-        steps.forEach { s ->
-            when (s) {
-                is PlacementStep.Drain -> reasons[s.replica] = s.reason
-                is PlacementStep.Dissolve -> if (s.reason != StepReason.DRAINED) reasons[s.replica] = s.reason
-                else -> Unit
-            }
-        }
-    }
-
     /** Before the first controller nobody can have given orders; after any other, theirs are waited out. */
     private fun onController(table: AssignmentTable?) {
         val now = clock.monotonicMillis()
         changedAt = now
         confirmedAt = Long.MIN_VALUE
         quietUntil = if (table?.term == FIRST_TERM) now else now + ReplicaTiming.TAKEOVER_QUIET_MILLIS
-        listOf(since, quarantinedSince, reasons, losses).forEach { it.clear() }
+        since.clear()
+        quarantinedSince.clear()
+        losses.clear()
     }
 
     private fun follow(table: AssignmentTable) {
@@ -96,23 +85,7 @@
         table.quarantined.forEach { quarantinedSince.putIfAbsent(it.instance, now) }
     }
 
-    private fun countLosses(
-        before: AssignmentTable,
-        after: AssignmentTable,
-    ) {
-        val old = before.replicas.map { it.id }.toSet()
-        val new = after.replicas.map { it.id }.toSet()
-        after.replicas.filter { it.id !in old }.forEach { r ->
-            losses.computeIfPresent(r.model) { _, n -> (n - 1).takeIf { it > 0 } }
-        }
-        before.replicas.filter { it.id !in new }.forEach { r ->
-            if (reasons.remove(r.id) !in PLANNED) losses.merge(r.model, 1, Int::plus)
-        }
-    }
-
     private companion object {
         const val FIRST_TERM = 1L
-        val PLANNED =
-            setOf(StepReason.MODEL_REMOVED, StepReason.VERSION_CHANGED, StepReason.SURPLUS, StepReason.REPLACED)
     }
 }
