--- a/proto/src/main/java/auburnhall/proto/peer/LoadReportOrBuilder.java
+++ b/proto/src/main/java/auburnhall/proto/peer/LoadReportOrBuilder.java
@@ -24,7 +24,7 @@
 
   /**
    * <pre>
-   * False when the callee does not control the data centre; no replicas are listed then.
+   * False when the callee has no report of the data centre; no replicas are listed then.
    * </pre>
    *
    * <code>bool controller = 2;</code>
@@ -55,15 +55,4 @@
    */
   auburnhall.proto.peer.ReplicaLoadOrBuilder getReplicasOrBuilder(
       int index);
-
-  /**
-   * <pre>
-   * When the report was made, on the callee's monotonic clock, in milliseconds. The caller knows that the first report
-   * of a stream was made after it opened the stream; so it can tell a report that was held up from a fresh one.
-   * </pre>
-   *
-   * <code>int64 as_of_ms = 4;</code>
-   * @return The asOfMs.
-   */
-  long getAsOfMs();
 }
