Record the members' runs in the assignment table

A process that begins to poll has not seen a member's earlier run and would believe one that comes back as if nothing had happened. Kept only in a controller's memory, the knowledge goes with the controller.

--- a/core/src/main/kotlin/auburnhall/core/Assignment.kt
+++ b/core/src/main/kotlin/auburnhall/core/Assignment.kt
@@ -24,6 +24,8 @@
  *
  * @property members at least one instance; the first leads and receives the requests.
  * @property generation fencing number carried by every order; higher than that of any earlier replica of the table.
+ * @property incarnations run of each member's engine, in the order of [members], when the replica began to serve; empty
+ *   before. A member of another run has lost what it held, whatever it says.
  */
 @Serializable
 data class Replica(
@@ -33,6 +35,7 @@
     val members: List<InstanceId>,
     val generation: Long,
     val state: ReplicaState,
+    val incarnations: List<String> = emptyList(),
 ) {
     init {
         require(members.isNotEmpty()) { "replica $id has no members" }
