Keep a passed deadline from overflowing; wire the ledger, operators' routes and the fleet's state

Cause: Deadline.PASSED lies at the smallest Long; what remained of it was computed by subtraction, overflowed, and the ledger's first commit waited for ever. Every order was refused for want of a confirmation. Ruled out: the store (one read and one write an order, both answered), the control thread (idle), a lost take-over (its write had succeeded). Conclusion: remainingMillis compares before it subtracts.

--- a/core/src/main/kotlin/auburnhall/core/Time.kt
+++ b/core/src/main/kotlin/auburnhall/core/Time.kt
@@ -35,7 +35,7 @@
     fun hasPassed(nowMillis: Long): Boolean = nowMillis >= atMillis
 
     /** Milliseconds left at [nowMillis]; 0 once the deadline has passed. */
-    fun remainingMillis(nowMillis: Long): Long = (atMillis - nowMillis).coerceAtLeast(0)
+    fun remainingMillis(nowMillis: Long): Long = if (hasPassed(nowMillis)) 0 else atMillis - nowMillis
 
     override fun compareTo(other: Deadline): Int = atMillis.compareTo(other.atMillis)
 
--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -9,6 +9,7 @@
 import auburnhall.config.ConfigView
 import auburnhall.core.Clock
 import auburnhall.core.ControlLoop
+import auburnhall.core.DrainRequest
 import auburnhall.core.FleetView
 import auburnhall.core.ListedInstance
 import auburnhall.core.every
@@ -47,7 +48,7 @@
 )
 
 internal class ControlPlane(
-    self: Member,
+    private val self: Member,
     private val ports: ControlPorts,
 ) {
     val membership =
@@ -102,6 +103,12 @@
             listOf(state, membership, config, tables, FleetFeed(fleet), LogFeed),
         )
 
+    /** Group downtime, stranded accelerators and the state of the fleet. */
+    val reporter = FleetReporter(self.process)
+
+    /** Called on the control thread, again and again, while operators want this process's instance drained. */
+    var onOwnDrain: (DrainRequest) -> Unit = {}
+
     /** Called on the control thread when the view of the fleet was replaced. */
     var onFleetChanged: () -> Unit = {}
 
@@ -131,6 +138,8 @@
         fleet.tick()
         ports.channels.keepOnly(view.members.map { it.peerAddress }.toSet())
         onFleetChanged()
+        reporter.onTick(FleetInput(state.tables(), fleet.view(), instances), ports.clock.monotonicMillis())
+        state.drains().find { it.instance == self.instance }?.let { onOwnDrain(it) }
     }
 
     private fun readInstances() =
--- a/entry/src/main/kotlin/auburnhall/entry/ControlState.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlState.kt
@@ -3,8 +3,14 @@
  */
 package auburnhall.entry
 
+import auburnhall.core.AssignmentTable
+import auburnhall.core.DrainList
+import auburnhall.core.DrainRequest
 import auburnhall.store.ControlFeedListener
+import auburnhall.store.Keys
 import auburnhall.store.StoreEntry
+import kotlinx.serialization.json.Json
+import org.tinylog.kotlin.Logger
 import java.util.TreeMap
 
 /** A control-thread object. */
@@ -17,7 +23,14 @@
 
     fun entries(): List<StoreEntry> = entries.values.toList()
 
-    fun value(key: String): ByteArray? = entries[key]?.value
+    /** Every assignment table; one that cannot be read is left out. */
+    fun tables(): List<AssignmentTable> =
+        entries.tailMap(Keys.ASSIGNMENTS).values.filter { it.key.startsWith(Keys.ASSIGNMENTS) }.mapNotNull {
+            decode<AssignmentTable>(it)
+        }
+
+    /** The drain requests in force. */
+    fun drains(): List<DrainRequest> = entries[Keys.DRAINS]?.let { decode<DrainList>(it) }?.drains.orEmpty()
 
     override fun onSnapshot(
         entries: List<StoreEntry>,
@@ -37,4 +50,16 @@
     }
 
     override fun onLost(message: String) = Unit
+
+    private inline fun <reified T> decode(entry: StoreEntry): T? =
+        try {
+            JSON.decodeFromString<T>(entry.value.decodeToString())
+        } catch (e: IllegalArgumentException) {
+            Logger.error(e, "the value of {} cannot be read", entry.key)
+            null
+        }
+
+    private companion object {
+        val JSON = Json { ignoreUnknownKeys = true }
+    }
 }
--- a/entry/src/main/kotlin/auburnhall/entry/Main.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Main.kt
@@ -4,7 +4,7 @@
 package auburnhall.entry
 
 import com.github.michaelbull.result.mapBoth
-import org.tinylog.kotlin.Logger
+import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
 
 private const val BAD_USAGE = 2
@@ -17,10 +17,12 @@
 private fun run(settings: EntrySettings) {
     System.setProperty("tinylog.level@auburnhall", settings.logLevel)
     val process = EntryProcess(settings)
+    val stopRequested = CountDownLatch(1)
     Runtime.getRuntime().addShutdownHook(Thread({ process.stop() }, "stop"))
-    process.start()
-    Logger.info("auburnhall is up at {}", process.callerAddress)
-    Thread.currentThread().join()
+    process.start(stopRequested::countDown)
+    println("auburnhall serves at ${process.callerAddress}")
+    stopRequested.await()
+    exitProcess(0)
 }
 
 private fun refuse(problem: SettingsProblem) {
--- a/peer/src/main/kotlin/auburnhall/peer/PeerService.kt
+++ b/peer/src/main/kotlin/auburnhall/peer/PeerService.kt
@@ -8,10 +8,13 @@
 import auburnhall.core.RequestId
 import auburnhall.explain.ExplanationJson
 import auburnhall.explain.ExplanationStore
+import auburnhall.ledger.LedgerShards
 import auburnhall.limits.ShareOwner
 import auburnhall.membership.MembershipController
 import auburnhall.proto.peer.BorrowSharesReply
 import auburnhall.proto.peer.BorrowSharesRequest
+import auburnhall.proto.peer.CompleteIntentReply
+import auburnhall.proto.peer.CompleteIntentRequest
 import auburnhall.proto.peer.FetchConfigReply
 import auburnhall.proto.peer.FetchConfigRequest
 import auburnhall.proto.peer.FetchLoadRequest
@@ -23,6 +26,8 @@
 import auburnhall.proto.peer.KeepExplanationsRequest
 import auburnhall.proto.peer.LoadReport
 import auburnhall.proto.peer.PeerGrpc
+import auburnhall.proto.peer.ReserveIntentReply
+import auburnhall.proto.peer.ReserveIntentRequest
 import com.google.protobuf.ByteString
 import io.grpc.stub.StreamObserver
 
@@ -33,6 +38,7 @@
     val shares: ShareOwner,
     val explanations: ExplanationStore,
     val loadNews: LoadNews,
+    val ledger: LedgerShards,
 )
 
 /** The gRPC service of an entry process. */
@@ -71,6 +77,16 @@
         observer.answer(BorrowSharesReply.newBuilder().addAllGrants(grants.map { it.toMessage() }).build())
     }
 
+    override fun reserveIntent(
+        request: ReserveIntentRequest,
+        observer: StreamObserver<ReserveIntentReply>,
+    ) = observer.answer(reserveIntent(parts.ledger, request))
+
+    override fun completeIntent(
+        request: CompleteIntentRequest,
+        observer: StreamObserver<CompleteIntentReply>,
+    ) = observer.answer(completeIntent(parts.ledger, request))
+
     override fun keepExplanations(
         request: KeepExplanationsRequest,
         observer: StreamObserver<KeepExplanationsReply>,
--- a/proto/src/main/java/auburnhall/proto/peer/CompleteIntentReply.java
+++ b/proto/src/main/java/auburnhall/proto/peer/CompleteIntentReply.java
@@ -28,6 +28,7 @@
     super(builder);
   }
   private CompleteIntentReply() {
+    state_ = 0;
     reason_ = "";
   }
 
@@ -44,15 +45,157 @@
             auburnhall.proto.peer.CompleteIntentReply.class, auburnhall.proto.peer.CompleteIntentReply.Builder.class);
   }
 
-  public static final int RECORDED_FIELD_NUMBER = 1;
-  private boolean recorded_ = false;
   /**
-   * <code>bool recorded = 1;</code>
-   * @return The recorded.
+   * Protobuf enum {@code auburnhall.peer.CompleteIntentReply.State}
    */
-  @java.lang.Override
-  public boolean getRecorded() {
-    return recorded_;
+  public enum State
+      implements com.google.protobuf.ProtocolMessageEnum {
+    /**
+     * <code>UNAVAILABLE = 0;</code>
+     */
+    UNAVAILABLE(0),
+    /**
+     * <code>RECORDED = 1;</code>
+     */
+    RECORDED(1),
+    /**
+     * <code>REJECTED = 2;</code>
+     */
+    REJECTED(2),
+    /**
+     * <code>NOT_OWNER = 3;</code>
+     */
+    NOT_OWNER(3),
+    UNRECOGNIZED(-1),
+    ;
+
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 33,
+        /* patch= */ 5,
+        /* suffix= */ "",
+        "State");
+    }
+    /**
+     * <code>UNAVAILABLE = 0;</code>
+     */
+    public static final int UNAVAILABLE_VALUE = 0;
+    /**
+     * <code>RECORDED = 1;</code>
+     */
+    public static final int RECORDED_VALUE = 1;
+    /**
+     * <code>REJECTED = 2;</code>
+     */
+    public static final int REJECTED_VALUE = 2;
+    /**
+     * <code>NOT_OWNER = 3;</code>
+     */
+    public static final int NOT_OWNER_VALUE = 3;
+
+
+    public final int getNumber() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalArgumentException(
+            "Can't get the number of an unknown enum value.");
+      }
+      return value;
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static State valueOf(int value) {
+      return forNumber(value);
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     */
+    public static State forNumber(int value) {
+      switch (value) {
+        case 0: return UNAVAILABLE;
+        case 1: return RECORDED;
+        case 2: return REJECTED;
+        case 3: return NOT_OWNER;
+        default: return null;
+      }
+    }
+
+    public static com.google.protobuf.Internal.EnumLiteMap<State>
+        internalGetValueMap() {
+      return internalValueMap;
+    }
+    private static final com.google.protobuf.Internal.EnumLiteMap<
+        State> internalValueMap =
+          new com.google.protobuf.Internal.EnumLiteMap<State>() {
+            public State findValueByNumber(int number) {
+              return State.forNumber(number);
+            }
+          };
+
+    public final com.google.protobuf.Descriptors.EnumValueDescriptor
+        getValueDescriptor() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalStateException(
+            "Can't get the descriptor of an unrecognized enum value.");
+      }
+      return getDescriptor().getValues().get(ordinal());
+    }
+    public final com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptorForType() {
+      return getDescriptor();
+    }
+    public static com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptor() {
+      return auburnhall.proto.peer.CompleteIntentReply.getDescriptor().getEnumTypes().get(0);
+    }
+
+    private static final State[] VALUES = values();
+
+    public static State valueOf(
+        com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+      if (desc.getType() != getDescriptor()) {
+        throw new java.lang.IllegalArgumentException(
+          "EnumValueDescriptor is not for this type.");
+      }
+      if (desc.getIndex() == -1) {
+        return UNRECOGNIZED;
+      }
+      return VALUES[desc.getIndex()];
+    }
+
+    private final int value;
+
+    private State(int value) {
+      this.value = value;
+    }
+
+    // @@protoc_insertion_point(enum_scope:auburnhall.peer.CompleteIntentReply.State)
+  }
+
+  public static final int STATE_FIELD_NUMBER = 1;
+  private int state_ = 0;
+  /**
+   * <code>.auburnhall.peer.CompleteIntentReply.State state = 1;</code>
+   * @return The enum numeric value on the wire for state.
+   */
+  @java.lang.Override public int getStateValue() {
+    return state_;
+  }
+  /**
+   * <code>.auburnhall.peer.CompleteIntentReply.State state = 1;</code>
+   * @return The state.
+   */
+  @java.lang.Override public auburnhall.proto.peer.CompleteIntentReply.State getState() {
+    auburnhall.proto.peer.CompleteIntentReply.State result = auburnhall.proto.peer.CompleteIntentReply.State.forNumber(state_);
+    return result == null ? auburnhall.proto.peer.CompleteIntentReply.State.UNRECOGNIZED : result;
   }
 
   public static final int REASON_FIELD_NUMBER = 2;
@@ -108,8 +251,8 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (recorded_ != false) {
-      output.writeBool(1, recorded_);
+    if (state_ != auburnhall.proto.peer.CompleteIntentReply.State.UNAVAILABLE.getNumber()) {
+      output.writeEnum(1, state_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 2, reason_);
@@ -123,9 +266,9 @@
     if (size != -1) return size;
 
     size = 0;
-    if (recorded_ != false) {
+    if (state_ != auburnhall.proto.peer.CompleteIntentReply.State.UNAVAILABLE.getNumber()) {
       size += com.google.protobuf.CodedOutputStream
-        .computeBoolSize(1, recorded_);
+        .computeEnumSize(1, state_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(reason_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(2, reason_);
@@ -145,8 +288,7 @@
     }
     auburnhall.proto.peer.CompleteIntentReply other = (auburnhall.proto.peer.CompleteIntentReply) obj;
 
-    if (getRecorded()
-        != other.getRecorded()) return false;
+    if (state_ != other.state_) return false;
     if (!getReason()
         .equals(other.getReason())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
@@ -160,9 +302,8 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + RECORDED_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
-        getRecorded());
+    hash = (37 * hash) + STATE_FIELD_NUMBER;
+    hash = (53 * hash) + state_;
     hash = (37 * hash) + REASON_FIELD_NUMBER;
     hash = (53 * hash) + getReason().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
@@ -296,7 +437,7 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      recorded_ = false;
+      state_ = 0;
       reason_ = "";
       return this;
     }
@@ -332,7 +473,7 @@
     private void buildPartial0(auburnhall.proto.peer.CompleteIntentReply result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.recorded_ = recorded_;
+        result.state_ = state_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.reason_ = reason_;
@@ -351,8 +492,8 @@
 
     public Builder mergeFrom(auburnhall.proto.peer.CompleteIntentReply other) {
       if (other == auburnhall.proto.peer.CompleteIntentReply.getDefaultInstance()) return this;
-      if (other.getRecorded() != false) {
-        setRecorded(other.getRecorded());
+      if (other.state_ != 0) {
+        setStateValue(other.getStateValue());
       }
       if (!other.getReason().isEmpty()) {
         reason_ = other.reason_;
@@ -386,7 +527,7 @@
               done = true;
               break;
             case 8: {
-              recorded_ = input.readBool();
+              state_ = input.readEnum();
               bitField0_ |= 0x00000001;
               break;
             } // case 8
@@ -412,34 +553,53 @@
     }
     private int bitField0_;
 
-    private boolean recorded_ ;
+    private int state_ = 0;
     /**
-     * <code>bool recorded = 1;</code>
-     * @return The recorded.
+     * <code>.auburnhall.peer.CompleteIntentReply.State state = 1;</code>
+     * @return The enum numeric value on the wire for state.
+     */
+    @java.lang.Override public int getStateValue() {
+      return state_;
+    }
+    /**
+     * <code>.auburnhall.peer.CompleteIntentReply.State state = 1;</code>
+     * @param value The enum numeric value on the wire for state to set.
+     * @return This builder for chaining.
+     */
+    public Builder setStateValue(int value) {
+      state_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.auburnhall.peer.CompleteIntentReply.State state = 1;</code>
+     * @return The state.
      */
     @java.lang.Override
-    public boolean getRecorded() {
-      return recorded_;
+    public auburnhall.proto.peer.CompleteIntentReply.State getState() {
+      auburnhall.proto.peer.CompleteIntentReply.State result = auburnhall.proto.peer.CompleteIntentReply.State.forNumber(state_);
+      return result == null ? auburnhall.proto.peer.CompleteIntentReply.State.UNRECOGNIZED : result;
     }
     /**
-     * <code>bool recorded = 1;</code>
-     * @param value The recorded to set.
+     * <code>.auburnhall.peer.CompleteIntentReply.State state = 1;</code>
+     * @param value The state to set.
      * @return This builder for chaining.
      */
-    public Builder setRecorded(boolean value) {
-
-      recorded_ = value;
+    public Builder setState(auburnhall.proto.peer.CompleteIntentReply.State value) {
+      if (value == null) { throw new NullPointerException(); }
       bitField0_ |= 0x00000001;
+      state_ = value.getNumber();
       onChanged();
       return this;
     }
     /**
-     * <code>bool recorded = 1;</code>
+     * <code>.auburnhall.peer.CompleteIntentReply.State state = 1;</code>
      * @return This builder for chaining.
      */
-    public Builder clearRecorded() {
+    public Builder clearState() {
       bitField0_ = (bitField0_ & ~0x00000001);
-      recorded_ = false;
+      state_ = 0;
       onChanged();
       return this;
     }
--- a/proto/src/main/java/auburnhall/proto/peer/CompleteIntentReplyOrBuilder.java
+++ b/proto/src/main/java/auburnhall/proto/peer/CompleteIntentReplyOrBuilder.java
@@ -11,10 +11,15 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>bool recorded = 1;</code>
-   * @return The recorded.
+   * <code>.auburnhall.peer.CompleteIntentReply.State state = 1;</code>
+   * @return The enum numeric value on the wire for state.
    */
-  boolean getRecorded();
+  int getStateValue();
+  /**
+   * <code>.auburnhall.peer.CompleteIntentReply.State state = 1;</code>
+   * @return The state.
+   */
+  auburnhall.proto.peer.CompleteIntentReply.State getState();
 
   /**
    * <code>string reason = 2;</code>
--- a/proto/src/main/java/auburnhall/proto/peer/CompleteIntentRequest.java
+++ b/proto/src/main/java/auburnhall/proto/peer/CompleteIntentRequest.java
@@ -32,6 +32,7 @@
     idempotencyKey_ = "";
     requestId_ = "";
     outcome_ = 0;
+    bodyDigest_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -335,6 +336,45 @@
     return answer_ == null ? auburnhall.proto.peer.RecordedAnswer.getDefaultInstance() : answer_;
   }
 
+  public static final int BODY_DIGEST_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object bodyDigest_ = "";
+  /**
+   * <code>string body_digest = 6;</code>
+   * @return The bodyDigest.
+   */
+  @java.lang.Override
+  public java.lang.String getBodyDigest() {
+    java.lang.Object ref = bodyDigest_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      bodyDigest_ = s;
+      return s;
+    }
+  }
+  /**
+   * <code>string body_digest = 6;</code>
+   * @return The bytes for bodyDigest.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getBodyDigestBytes() {
+    java.lang.Object ref = bodyDigest_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      bodyDigest_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -364,6 +404,9 @@
     if (((bitField0_ & 0x00000001) != 0)) {
       output.writeMessage(5, getAnswer());
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(bodyDigest_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, bodyDigest_);
+    }
     getUnknownFields().writeTo(output);
   }
 
@@ -390,6 +433,9 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(5, getAnswer());
     }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(bodyDigest_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, bodyDigest_);
+    }
     size += getUnknownFields().getSerializedSize();
     memoizedSize = size;
     return size;
@@ -417,6 +463,8 @@
       if (!getAnswer()
           .equals(other.getAnswer())) return false;
     }
+    if (!getBodyDigest()
+        .equals(other.getBodyDigest())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -440,6 +488,8 @@
       hash = (37 * hash) + ANSWER_FIELD_NUMBER;
       hash = (53 * hash) + getAnswer().hashCode();
     }
+    hash = (37 * hash) + BODY_DIGEST_FIELD_NUMBER;
+    hash = (53 * hash) + getBodyDigest().hashCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -586,6 +636,7 @@
         answerBuilder_.dispose();
         answerBuilder_ = null;
       }
+      bodyDigest_ = "";
       return this;
     }
 
@@ -638,6 +689,9 @@
             : answerBuilder_.build();
         to_bitField0_ |= 0x00000001;
       }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.bodyDigest_ = bodyDigest_;
+      }
       result.bitField0_ |= to_bitField0_;
     }
 
@@ -674,6 +728,11 @@
       if (other.hasAnswer()) {
         mergeAnswer(other.getAnswer());
       }
+      if (!other.getBodyDigest().isEmpty()) {
+        bodyDigest_ = other.bodyDigest_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -727,6 +786,11 @@
               bitField0_ |= 0x00000010;
               break;
             } // case 42
+            case 50: {
+              bodyDigest_ = input.readStringRequireUtf8();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 50
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -1132,6 +1196,78 @@
       return answerBuilder_;
     }
 
+    private java.lang.Object bodyDigest_ = "";
+    /**
+     * <code>string body_digest = 6;</code>
+     * @return The bodyDigest.
+     */
+    public java.lang.String getBodyDigest() {
+      java.lang.Object ref = bodyDigest_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        bodyDigest_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <code>string body_digest = 6;</code>
+     * @return The bytes for bodyDigest.
+     */
+    public com.google.protobuf.ByteString
+        getBodyDigestBytes() {
+      java.lang.Object ref = bodyDigest_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        bodyDigest_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <code>string body_digest = 6;</code>
+     * @param value The bodyDigest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBodyDigest(
+        java.lang.String value) {
+      if (value == null) { throw new NullPointerException(); }
+      bodyDigest_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string body_digest = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearBodyDigest() {
+      bodyDigest_ = getDefaultInstance().getBodyDigest();
+      bitField0_ = (bitField0_ & ~0x00000020);
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>string body_digest = 6;</code>
+     * @param value The bytes for bodyDigest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setBodyDigestBytes(
+        com.google.protobuf.ByteString value) {
+      if (value == null) { throw new NullPointerException(); }
+      checkByteStringIsUtf8(value);
+      bodyDigest_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:auburnhall.peer.CompleteIntentRequest)
   }
 
--- a/proto/src/main/java/auburnhall/proto/peer/CompleteIntentRequestOrBuilder.java
+++ b/proto/src/main/java/auburnhall/proto/peer/CompleteIntentRequestOrBuilder.java
@@ -71,4 +71,16 @@
    * <code>.auburnhall.peer.RecordedAnswer answer = 5;</code>
    */
   auburnhall.proto.peer.RecordedAnswerOrBuilder getAnswerOrBuilder();
+
+  /**
+   * <code>string body_digest = 6;</code>
+   * @return The bodyDigest.
+   */
+  java.lang.String getBodyDigest();
+  /**
+   * <code>string body_digest = 6;</code>
+   * @return The bytes for bodyDigest.
+   */
+  com.google.protobuf.ByteString
+      getBodyDigestBytes();
 }
--- a/proto/src/main/java/auburnhall/proto/peer/PeerOuterClass.java
+++ b/proto/src/main/java/auburnhall/proto/peer/PeerOuterClass.java
@@ -184,38 +184,41 @@
       "AY_HAVE_RUN\020\003\022\010\n\004DONE\020\004\022\016\n\nKEY_REUSED\020\005\022" +
       "\r\n\tNOT_OWNER\020\006\"D\n\016RecordedAnswer\022\016\n\006stat" +
       "us\030\001 \001(\005\022\024\n\014content_type\030\002 \001(\t\022\014\n\004body\030\003" +
-      " \001(\014\"\374\001\n\025CompleteIntentRequest\022\020\n\010custom" +
+      " \001(\014\"\221\002\n\025CompleteIntentRequest\022\020\n\010custom" +
       "er\030\001 \001(\t\022\027\n\017idempotency_key\030\002 \001(\t\022\022\n\nreq" +
       "uest_id\030\003 \001(\t\022?\n\007outcome\030\004 \001(\0162..auburnh" +
       "all.peer.CompleteIntentRequest.Outcome\022/" +
       "\n\006answer\030\005 \001(\0132\037.auburnhall.peer.Recorde" +
-      "dAnswer\"2\n\007Outcome\022\013\n\007NOT_RUN\020\000\022\020\n\014MAY_H" +
-      "AVE_RUN\020\001\022\010\n\004DONE\020\002\"7\n\023CompleteIntentRep" +
-      "ly\022\020\n\010recorded\030\001 \001(\010\022\016\n\006reason\030\002 \001(\t\"*\n\027" +
-      "KeepExplanationsRequest\022\017\n\007records\030\001 \003(\014" +
-      "\"\027\n\025KeepExplanationsReply\",\n\026FindExplana" +
-      "tionRequest\022\022\n\nrequest_id\030\001 \001(\t\"\'\n\024FindE" +
-      "xplanationReply\022\017\n\007records\030\001 \003(\0142\333\005\n\004Pee" +
-      "r\022O\n\tHeartbeat\022!.auburnhall.peer.Heartbe" +
-      "atRequest\032\037.auburnhall.peer.HeartbeatRep" +
-      "ly\022U\n\013FetchConfig\022#.auburnhall.peer.Fetc" +
-      "hConfigRequest\032!.auburnhall.peer.FetchCo" +
-      "nfigReply\022K\n\tFetchLoad\022!.auburnhall.peer" +
-      ".FetchLoadRequest\032\033.auburnhall.peer.Load" +
-      "Report\022X\n\014BorrowShares\022$.auburnhall.peer" +
-      ".BorrowSharesRequest\032\".auburnhall.peer.B" +
-      "orrowSharesReply\022[\n\rReserveIntent\022%.aubu" +
-      "rnhall.peer.ReserveIntentRequest\032#.aubur" +
-      "nhall.peer.ReserveIntentReply\022^\n\016Complet" +
-      "eIntent\022&.auburnhall.peer.CompleteIntent" +
-      "Request\032$.auburnhall.peer.CompleteIntent" +
-      "Reply\022d\n\020KeepExplanations\022(.auburnhall.p" +
-      "eer.KeepExplanationsRequest\032&.auburnhall" +
-      ".peer.KeepExplanationsReply\022a\n\017FindExpla" +
-      "nation\022\'.auburnhall.peer.FindExplanation" +
-      "Request\032%.auburnhall.peer.FindExplanatio" +
-      "nReplyB\031\n\025auburnhall.proto.peerP\001b\006proto" +
-      "3"
+      "dAnswer\022\023\n\013body_digest\030\006 \001(\t\"2\n\007Outcome\022" +
+      "\013\n\007NOT_RUN\020\000\022\020\n\014MAY_HAVE_RUN\020\001\022\010\n\004DONE\020\002" +
+      "\"\245\001\n\023CompleteIntentReply\0229\n\005state\030\001 \001(\0162" +
+      "*.auburnhall.peer.CompleteIntentReply.St" +
+      "ate\022\016\n\006reason\030\002 \001(\t\"C\n\005State\022\017\n\013UNAVAILA" +
+      "BLE\020\000\022\014\n\010RECORDED\020\001\022\014\n\010REJECTED\020\002\022\r\n\tNOT" +
+      "_OWNER\020\003\"*\n\027KeepExplanationsRequest\022\017\n\007r" +
+      "ecords\030\001 \003(\014\"\027\n\025KeepExplanationsReply\",\n" +
+      "\026FindExplanationRequest\022\022\n\nrequest_id\030\001 " +
+      "\001(\t\"\'\n\024FindExplanationReply\022\017\n\007records\030\001" +
+      " \003(\0142\333\005\n\004Peer\022O\n\tHeartbeat\022!.auburnhall." +
+      "peer.HeartbeatRequest\032\037.auburnhall.peer." +
+      "HeartbeatReply\022U\n\013FetchConfig\022#.auburnha" +
+      "ll.peer.FetchConfigRequest\032!.auburnhall." +
+      "peer.FetchConfigReply\022K\n\tFetchLoad\022!.aub" +
+      "urnhall.peer.FetchLoadRequest\032\033.auburnha" +
+      "ll.peer.LoadReport\022X\n\014BorrowShares\022$.aub" +
+      "urnhall.peer.BorrowSharesRequest\032\".aubur" +
+      "nhall.peer.BorrowSharesReply\022[\n\rReserveI" +
+      "ntent\022%.auburnhall.peer.ReserveIntentReq" +
+      "uest\032#.auburnhall.peer.ReserveIntentRepl" +
+      "y\022^\n\016CompleteIntent\022&.auburnhall.peer.Co" +
+      "mpleteIntentRequest\032$.auburnhall.peer.Co" +
+      "mpleteIntentReply\022d\n\020KeepExplanations\022(." +
+      "auburnhall.peer.KeepExplanationsRequest\032" +
+      "&.auburnhall.peer.KeepExplanationsReply\022" +
+      "a\n\017FindExplanation\022\'.auburnhall.peer.Fin" +
+      "dExplanationRequest\032%.auburnhall.peer.Fi" +
+      "ndExplanationReplyB\031\n\025auburnhall.proto.p" +
+      "eerP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -316,13 +319,13 @@
     internal_static_auburnhall_peer_CompleteIntentRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_CompleteIntentRequest_descriptor,
-        new java.lang.String[] { "Customer", "IdempotencyKey", "RequestId", "Outcome", "Answer", });
+        new java.lang.String[] { "Customer", "IdempotencyKey", "RequestId", "Outcome", "Answer", "BodyDigest", });
     internal_static_auburnhall_peer_CompleteIntentReply_descriptor =
       getDescriptor().getMessageType(16);
     internal_static_auburnhall_peer_CompleteIntentReply_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_auburnhall_peer_CompleteIntentReply_descriptor,
-        new java.lang.String[] { "Recorded", "Reason", });
+        new java.lang.String[] { "State", "Reason", });
     internal_static_auburnhall_peer_KeepExplanationsRequest_descriptor =
       getDescriptor().getMessageType(17);
     internal_static_auburnhall_peer_KeepExplanationsRequest_fieldAccessorTable = new
