--- a/config/src/main/kotlin/auburnhall/config/api/OperatorRoutes.kt
+++ b/config/src/main/kotlin/auburnhall/config/api/OperatorRoutes.kt
@@ -62,17 +62,12 @@
 
 private fun operatorFilter(operatorName: (Request) -> String?) =
     Filter { next ->
-        { request ->
-            if (operatorName(request) ==
-                null
-            ) {
-                error(Status.UNAUTHORIZED, "the operator key is not known")
-            } else {
-                next(request)
-            }
-        }
+        { request -> if (operatorName(request) == null) unauthorised() else next(request) }
     }
 
+private fun unauthorised() =
+    error(Status.UNAUTHORIZED, "the operator key is not known").header("WWW-Authenticate", "Bearer")
+
 private fun explanations(
     request: Request,
     explain: (RequestId) -> List<Explanation>,
