--- a/explain/src/main/kotlin/auburnhall/explain/ExplanationLog.kt
+++ b/explain/src/main/kotlin/auburnhall/explain/ExplanationLog.kt
@@ -66,7 +66,7 @@
 }
 
 /** Returns a [PeerExplanationLog] for process [self]. */
-fun ExplanationLog(
+fun PeerExplanationLog(
     self: ProcessId,
     membership: Membership,
     peers: ExplanationPeers,
--- a/explain/src/main/kotlin/auburnhall/explain/Outbox.kt
+++ b/explain/src/main/kotlin/auburnhall/explain/Outbox.kt
@@ -34,11 +34,11 @@
 
     /** Takes up to [BATCH_RECORDS] for the peer that has waited longest; null when nothing is queued. */
     fun take(): Batch? {
-        val process = queues.keys.firstOrNull() ?: return null
-        val queue = queues.remove(process) ?: return null
+        val queue = queues.values.firstOrNull() ?: return null
         val ids = queue.ids.take(BATCH_RECORDS)
         queue.ids.removeAll(ids.toSet())
-        if (queue.ids.isNotEmpty()) queues[process] = queue
+        queues.remove(queue.to.process)
+        if (queue.ids.isNotEmpty()) queues[queue.to.process] = queue
         return Batch(queue.to, ids)
     }
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/AnswerSession.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AnswerSession.kt
@@ -1,25 +1,16 @@
 /*
- * One answer, over as many replicas as it takes. The session remembers the text it has delivered; when a replica fails,
- * the answer goes on at another one from there. An event of a replica that was given up is never read again, because its
- * stream is closed before the next is opened.
+ * One answer, over as many replicas as it takes. When a replica fails, the answer goes on at another one from the text
+ * that has been delivered. No event of a replica that was given up is read, because its attempt is ended before the
+ * next one is opened.
  */
 package auburnhall.gateway
 
 import auburnhall.core.Deadline
-import auburnhall.core.HttpStatus
 import auburnhall.core.Reason
 import auburnhall.core.Refusal
-import auburnhall.core.ReplicaId
-import auburnhall.core.RunState
 import auburnhall.core.Step
 import auburnhall.core.StepError
-import auburnhall.engine.ChatCall
 import auburnhall.engine.ChatEvent
-import auburnhall.engine.ChatResult
-import auburnhall.engine.ChatStream
-import auburnhall.limits.AdmissionRequest
-import auburnhall.limits.AdmissionResult
-import auburnhall.limits.AdmissionTicket
 import auburnhall.limits.TicketOutcome
 
 /** What a session tells its caller. */
@@ -60,172 +51,55 @@
     private val parts: GatewayParts,
     private val order: AnswerOrder,
 ) : AutoCloseable {
-    private class Attempt(
-        val ticket: AdmissionTicket,
-        val stream: ChatStream,
-        var nextBy: Deadline,
-        var tokens: Int = 0,
-    )
-
-    private sealed interface Opening {
-        class Opened(
-            val attempt: Attempt,
-        ) : Opening
-
-        class Ended(
-            val event: AnswerEvent,
-        ) : Opening
-
-        data object TryNext : Opening
-    }
-
-    private val trail = order.caller.arrival.trail
-    private val plan = order.caller.plan
     private val clock = parts.clock
     private val settings = parts.settings
-    private val answerBy = trail.deadlineIn(plan.answerMillis)
-    private val latestEnd = trail.deadlineIn(plan.answerMillis + settings.overtimeMillis)
-    private val delivered = StringBuilder()
-    private val excluded = HashSet<ReplicaId>()
-    private val lock = Any()
-    private var current: Attempt? = null
-    private var closed = false
-    private var attempts = 0
-    private var tokens = 0
-    private var lastTokenAt = 0L
-    private var mayHaveRun = false
-    private var lastFailure: StepError? = null
+    private val times = AnswerTimes(order.caller, settings)
+    private val progress = AnswerProgress(parts, order.caller)
+    private val slot = AttemptSlot()
+    private val opener = AttemptOpener(parts, order, times, progress, slot)
+
+    /** A replica may fail between the last token that was asked for and the end of its stream. */
+    private val tokenLimit = order.chat.maxTokens ?: Int.MAX_VALUE
 
     /** The text delivered so far. */
-    val text: String get() = delivered.toString()
+    val text: String get() = progress.text
 
     /** Waits for the next event. After [AnswerEvent.Finished] or [AnswerEvent.Failed] none follows. */
     fun next(): AnswerEvent {
+        slot.current()?.let(::expectSoon)
         while (true) {
-            val attempt = synchronized(lock) { current }
-            val event = if (attempt == null) openNext() else read(attempt)
+            val attempt = slot.current()
+            val event = if (attempt == null) whyNotOpen() ?: opener.open() else read(attempt)
             if (event != null) return event
         }
     }
 
     /** Cancels the answer at the engine and gives its place back; does nothing once the answer has ended. */
-    override fun close() {
-        val attempt =
-            synchronized(lock) {
-                closed = true
-                current
-            }
-        if (attempt != null) end(attempt, TicketOutcome.CANCELLED)
-    }
+    override fun close() = slot.close()
 
-    private fun openNext(): AnswerEvent? {
-        whyNotOpen()?.let { return it }
-        attempts += 1
-        return when (val opening = open()) {
-            is Opening.Ended -> opening.event
-            is Opening.Opened -> install(opening.attempt)
-            Opening.TryNext -> null
-        }
+    /** Counts silence from now, so that a caller who reads slowly does not make a replica look silent. */
+    private fun expectSoon(attempt: Attempt) {
+        attempt.nextBy = maxOf(attempt.nextBy, times.silentBy(clock.monotonicMillis()))
     }
 
     private fun whyNotOpen(): AnswerEvent? {
-        val failure = lastFailure
+        val failure = progress.lastFailure
         return when {
-            closedNow() -> callerGone()
-            lengthReached() -> AnswerEvent.Finished(LENGTH, 0, tokens)
+            slot.isClosed -> progress.callerGone()
             failure == null -> null
-            order.once && mayHaveRun -> failed(Reason.OUTCOME_UNKNOWN, failure)
-            answerBy.hasPassed(clock.monotonicMillis()) -> failed(Reason.ANSWER_LATE, failure)
-            attempts >= settings.attempts -> failed(Reason.ENGINE_FAILED, failure)
+            progress.tokens >= tokenLimit -> AnswerEvent.Finished(LENGTH, 0, progress.tokens)
+            order.once && progress.mayHaveRun -> progress.failed(Reason.OUTCOME_UNKNOWN, failure)
+            times.answerBy.hasPassed(clock.monotonicMillis()) -> progress.failed(Reason.ANSWER_LATE, failure)
+            progress.attempts >= settings.attempts -> progress.failed(Reason.ENGINE_FAILED, failure)
             else -> null
         }
     }
 
-    private fun open(): Opening {
-        val resumes = lastFailure != null
-        if (resumes) parts.listener.onRetry(trail.requestId)
-        return when (val result = parts.admission.admit(admissionRequest(resumes))) {
-            is AdmissionResult.Refused -> Opening.Ended(AnswerEvent.Failed(notAdmitted(result.refusal)))
-            is AdmissionResult.Admitted -> dispatch(result.ticket)
-        }
-    }
-
-    private fun dispatch(ticket: AdmissionTicket): Opening {
-        admitted(ticket)
-        val before = order.dispatchBefore
-        if (closedNow()) return giveBack(ticket, callerGone())
-        if (before != null &&
-            before.hasPassed(clock.monotonicMillis())
-        ) {
-            return giveBack(ticket, tooLateToDispatch(ticket))
-        }
-        return when (val result = parts.engines.chat(ticket.replica.leaderAddress, chatCall(ticket))) {
-            is ChatResult.Streaming -> Opening.Opened(attempt(ticket, result.stream))
-            is ChatResult.Refused -> engineRefused(ticket, result)
-            is ChatResult.Failed -> {
-                mayHaveRun = true
-                failedAt(ticket, result.error)
-            }
-        }
-    }
-
-    private fun engineRefused(
-        ticket: AdmissionTicket,
-        result: ChatResult.Refused,
-    ): Opening {
-        if (result.status !in REQUEST_FAULTS) return failedAt(ticket, result.error)
-        ticket.finish(TicketOutcome.CANCELLED, 0)
-        return Opening.Ended(failed(Reason.MALFORMED, result.error))
-    }
-
-    private fun failedAt(
-        ticket: AdmissionTicket,
-        error: StepError,
-    ): Opening {
-        ticket.finish(TicketOutcome.REPLICA_FAILED, 0)
-        noteFailure(ticket.replica.replica.id, error)
-        return Opening.TryNext
-    }
-
-    private fun giveBack(
-        ticket: AdmissionTicket,
-        event: AnswerEvent,
-    ): Opening {
-        ticket.finish(TicketOutcome.CANCELLED, 0)
-        return Opening.Ended(event)
-    }
-
-    private fun attempt(
-        ticket: AdmissionTicket,
-        stream: ChatStream,
-    ): Attempt {
-        mayHaveRun = true
-        return Attempt(ticket, stream, firstBy())
-    }
-
-    /** The plan's promise for the first token is waited out; a later attempt only gets the time for one silence. */
-    private fun firstBy(): Deadline {
-        val promised = trail.deadlineIn(plan.firstTokenMillis)
-        val silence = Deadline(clock.monotonicMillis() + settings.silenceMillis)
-        return minOf(maxOf(promised, silence), latestEnd)
-    }
-
-    private fun install(attempt: Attempt): AnswerEvent? {
-        val accepted =
-            synchronized(lock) {
-                if (!closed) current = attempt
-                !closed
-            }
-        if (accepted) return null
-        release(attempt, TicketOutcome.CANCELLED)
-        return callerGone()
-    }
-
     private fun read(attempt: Attempt): AnswerEvent? =
         when (val event = attempt.stream.next(attempt.nextBy)) {
             is ChatEvent.Text -> onText(attempt, event)
             is ChatEvent.Finished -> onFinished(attempt, event)
-            is ChatEvent.Broken -> onBroken(attempt, event.error)
+            is ChatEvent.Broken -> giveUp(attempt, event.error)
             ChatEvent.Silent -> onSilent(attempt)
         }
 
@@ -233,185 +107,82 @@
         attempt: Attempt,
         event: ChatEvent.Text,
     ): AnswerEvent? {
-        if (closedNow()) return callerGone()
-        val now = clock.monotonicMillis()
-        attempt.nextBy = minOf(Deadline(now + settings.silenceMillis), latestEnd)
-        if (event.text.isEmpty() && event.tokens == 0) return null
-        noteToken(attempt, now)
-        attempt.tokens += event.tokens
-        tokens += event.tokens
-        trail.tokens = tokens
-        delivered.append(event.text)
-        return AnswerEvent.Text(event.text)
-    }
-
-    private fun noteToken(
-        attempt: Attempt,
-        now: Long,
-    ) {
-        if (attempt.tokens == 0) attempt.ticket.onFirstToken()
-        if (tokens == 0) {
-            noteFirstToken(attempt)
-        } else {
-            parts.listener.onToken(now - lastTokenAt)
-        }
-        lastTokenAt = now
-    }
-
-    private fun noteFirstToken(attempt: Attempt) {
-        val took = trail.elapsedMillis()
-        parts.listener.onFirstToken(trail.requestId, took)
-        if (took <= plan.firstTokenMillis) return
-        val message = "The first token came after $took ms instead of ${plan.firstTokenMillis} ms."
-        trail.add(Reason.SLOW_REPLICA, StepError(Step.STREAM, peerOf(attempt.ticket), message))
+        if (slot.isClosed) return progress.callerGone()
+        attempt.nextBy = times.silentBy(clock.monotonicMillis())
+        val hasText = event.text.isNotEmpty() || event.tokens > 0
+        if (hasText) progress.onText(attempt, event)
+        return if (hasText) AnswerEvent.Text(event.text) else null
     }
 
     private fun onFinished(
         attempt: Attempt,
         event: ChatEvent.Finished,
     ): AnswerEvent {
-        if (!end(attempt, TicketOutcome.COMPLETED)) return callerGone()
-        val took = trail.elapsedMillis()
-        if (took > plan.answerMillis) {
-            val message = "The answer was complete after $took ms instead of ${plan.answerMillis} ms."
-            trail.add(Reason.SLOW_REPLICA, StepError(Step.FINISH, peerOf(attempt.ticket), message))
-        }
-        return AnswerEvent.Finished(event.finishReason, event.promptTokens, tokens)
-    }
-
-    private fun onBroken(
-        attempt: Attempt,
-        error: StepError,
-    ): AnswerEvent? {
-        if (!end(attempt, TicketOutcome.REPLICA_FAILED)) return callerGone()
-        noteFailure(attempt.ticket.replica.replica.id, error)
-        return null
+        if (!slot.end(attempt, TicketOutcome.COMPLETED)) return progress.callerGone()
+        progress.onFinished(attempt)
+        return AnswerEvent.Finished(event.finishReason, event.promptTokens, progress.tokens)
     }
 
     private fun onSilent(attempt: Attempt): AnswerEvent? {
         val now = clock.monotonicMillis()
-        if (!attempt.nextBy.hasPassed(now)) return null
-        val error = StepError(Step.STREAM, peerOf(attempt.ticket), "No token came for ${settings.silenceMillis} ms.")
-        if (!latestEnd.hasPassed(now)) return onBroken(attempt, error)
-        if (!end(attempt, TicketOutcome.CANCELLED)) return callerGone()
-        return failed(Reason.ANSWER_LATE, error)
+        val error = StepError(Step.STREAM, attempt.peer, "No token came for ${settings.silenceMillis} ms.")
+        return when {
+            !attempt.nextBy.hasPassed(now) -> null
+            times.latestEnd.hasPassed(now) -> cutOff(attempt, error)
+            else -> giveUp(attempt, error)
+        }
     }
 
-    private fun noteFailure(
-        replica: ReplicaId,
+    private fun cutOff(
+        attempt: Attempt,
         error: StepError,
-    ) {
-        lastFailure = error
-        excluded += replica
-        trail.add(Reason.RETRIED, error)
-        parts.listener.onAttemptFailed(trail.requestId, error)
-    }
-
-    private fun admitted(ticket: AdmissionTicket) {
-        val waited = ticket.waitedMillis
-        parts.listener.onAdmitted(trail.requestId, waited)
-        if (waited < settings.queuedMillis) return
-        trail.add(Reason.QUEUED, StepError(Step.ADMIT, peerOf(ticket), "It waited $waited ms for a place."))
-    }
-
-    private fun admissionRequest(resumes: Boolean): AdmissionRequest {
-        val firstBy =
-            if (resumes) {
-                Deadline(
-                    clock.monotonicMillis() + plan.firstTokenMillis,
-                )
-            } else {
-                trail.deadlineIn(plan.firstTokenMillis)
-            }
-        return AdmissionRequest(
-            trail.requestId,
-            order.caller.customer.id,
-            plan,
-            order.chat.model,
-            order.chat.prefixes,
-            ((order.chat.maxTokens ?: settings.defaultMaxTokens) - tokens).coerceAtLeast(1),
-            minOf(firstBy, answerBy),
-            answerBy,
-            excluded.toSet(),
-            resumes,
-        )
+    ): AnswerEvent {
+        val ended = slot.end(attempt, TicketOutcome.CANCELLED)
+        return if (ended) progress.failed(Reason.ANSWER_LATE, error) else progress.callerGone()
     }
 
-    private fun chatCall(ticket: AdmissionTicket): ChatCall {
-        val replica = ticket.replica.replica
-        return ChatCall(
-            trail.requestId,
-            order.chat.body,
-            replica.id,
-            replica.generation,
-            plan.priority,
-            delivered.takeIf { it.isNotEmpty() }?.toString(),
-            tokens,
-        )
+    private fun giveUp(
+        attempt: Attempt,
+        error: StepError,
+    ): AnswerEvent? {
+        if (!slot.end(attempt, TicketOutcome.REPLICA_FAILED)) return progress.callerGone()
+        progress.onAttemptFailed(attempt.ticket.replica.replica.id, error)
+        return null
     }
 
-    private fun notAdmitted(refusal: Refusal): Refusal {
-        if (!mayHaveRun) return refusal
-        val reason = if (delivered.isEmpty()) refusal.reason else Reason.ENGINE_FAILED
-        return refusal.copy(reason = reason, runState = RunState.MAY_HAVE_RUN)
+    private companion object {
+        const val LENGTH = "length"
     }
+}
 
-    private fun tooLateToDispatch(ticket: AdmissionTicket) =
-        failed(
-            Reason.DEADLINE_UNREACHABLE,
-            StepError(Step.DISPATCH, peerOf(ticket), "The time to pass it on ran out while it waited."),
-        )
-
-    private fun callerGone() =
-        failed(Reason.CALLER_GONE, StepError(Step.STREAM, "caller", "The caller closed the connection."))
-
-    private fun failed(
-        reason: Reason,
-        error: StepError,
-    ) = AnswerEvent.Failed(
-        Refusal(reason, if (mayHaveRun) RunState.MAY_HAVE_RUN else RunState.NOT_RUN, error, retryAfter(reason)),
-    )
-
-    private fun retryAfter(reason: Reason): Long? =
-        RETRY_SECONDS.takeIf { !mayHaveRun && reason.status >= HttpStatus.INTERNAL_ERROR }
-
-    private fun lengthReached(): Boolean = lastFailure != null && tokens >= (order.chat.maxTokens ?: Int.MAX_VALUE)
+/** The deadlines of one answer. */
+internal class AnswerTimes(
+    private val caller: Authenticated,
+    private val settings: GatewaySettings,
+) {
+    private val trail = caller.arrival.trail
 
-    private fun closedNow(): Boolean = synchronized(lock) { closed }
+    /** When the plan promises the first token. */
+    val firstTokenBy: Deadline = trail.deadlineIn(caller.plan.firstTokenMillis)
 
-    private fun peerOf(ticket: AdmissionTicket): String = ticket.replica.replica.leader.value
+    /** When the plan promises the whole answer; no attempt begins later. */
+    val answerBy: Deadline = trail.deadlineIn(caller.plan.answerMillis)
 
-    /** Ends [attempt] unless another thread did; returns whether this call ended it. */
-    private fun end(
-        attempt: Attempt,
-        outcome: TicketOutcome,
-    ): Boolean {
-        val mine =
-            synchronized(lock) {
-                val same = current === attempt
-                if (same) current = null
-                same
-            }
-        if (mine) release(attempt, outcome)
-        return mine
-    }
+    /** When an answer that is still coming is cut off. */
+    val latestEnd: Deadline = trail.deadlineIn(caller.plan.answerMillis + settings.overtimeMillis)
 
-    private fun release(
-        attempt: Attempt,
-        outcome: TicketOutcome,
-    ) {
-        try {
-            attempt.stream.close()
-        } finally {
-            attempt.ticket.finish(outcome, attempt.tokens)
-        }
-    }
+    /** When a replica that was heard at [nowMillis] counts as silent. */
+    fun silentBy(nowMillis: Long): Deadline = minOf(Deadline(nowMillis + settings.silenceMillis), latestEnd)
 
-    private companion object {
-        const val LENGTH = "length"
-        const val RETRY_SECONDS = 1L
+    /** When a replica that was given the request at [nowMillis] must have begun to answer. */
+    fun beginBy(nowMillis: Long): Deadline = minOf(maxOf(firstTokenBy, silentBy(nowMillis)), latestEnd)
 
-        /** Statuses with which an engine says that the request itself is at fault. */
-        val REQUEST_FAULTS = setOf(HttpStatus.BAD_REQUEST, HttpStatus.CONTENT_TOO_LARGE, HttpStatus.UNPROCESSABLE)
+    /** When an attempt that asks for a place at [nowMillis] is to have its first token. */
+    fun placeBy(
+        nowMillis: Long,
+        resumes: Boolean,
+    ): Deadline {
+        val by = if (resumes) Deadline(nowMillis + caller.plan.firstTokenMillis) else firstTokenBy
+        return minOf(by, answerBy)
     }
 }
--- a/gateway/src/main/kotlin/auburnhall/gateway/AnswerStream.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AnswerStream.kt
@@ -1,32 +1,19 @@
 /*
- * The body of a streamed answer. The server reads it and writes what it got at once, so each read returns as soon as the
- * engine has given the next piece.
+ * The body of a streamed answer. The server reads it and writes what it got at once, so each read returns as soon as
+ * the engine has given the next piece.
  */
 package auburnhall.gateway
 
-import auburnhall.core.HttpStatus
-import auburnhall.core.Reason
-import auburnhall.core.Refusal
-import auburnhall.core.RunState
-import auburnhall.core.Step
-import auburnhall.core.StepError
 import java.io.InputStream
 
-/** Reads [session] from its event [first] on as server-sent events. Closed before its end, it cancels the answer. */
+/** Reads [answer] from its event [first] on as server-sent events. Closed before its end, it tells [answer] so. */
 internal class AnswerStream(
-    private val session: AnswerSession,
-    private val trail: RequestTrail,
-    private val encoder: ChunkEncoder,
-    private val out: ChunkBuffer,
-    private val options: Options,
+    private val answer: ChatAnswer,
+    head: AnswerHead,
     first: AnswerEvent,
 ) : InputStream() {
-    /** [onEnd] is told once how the answer ended, before the trail ends. */
-    class Options(
-        val includeUsage: Boolean,
-        val onEnd: (AnswerEvent) -> Unit = {},
-    )
-
+    private val out = ChunkBuffer()
+    private val encoder = ChunkEncoder(head, out)
     private var pending: AnswerEvent? = first
     private var ended = false
 
@@ -45,45 +32,31 @@
         len: Int,
     ): Int {
         if (len == 0) return 0
-        if (pending != null) fill()
-        if (out.isEmpty && !ended) fill()
+        if (!ended && (pending != null || out.isEmpty)) fill()
         return if (out.isEmpty) -1 else out.moveTo(b, off, len)
     }
 
     override fun close() {
-        session.close()
         if (ended) return
         ended = true
-        val gone = StepError(Step.STREAM, "caller", "The caller hung up after ${trail.tokens} tokens.")
-        val refusal = Refusal(Reason.CALLER_GONE, RunState.MAY_HAVE_RUN, gone)
-        trail.refuse(refusal)
-        options.onEnd(AnswerEvent.Failed(refusal))
-        trail.endRefused()
+        val event = pending
+        pending = null
+        if (event is AnswerEvent.Finished) answer.finish(event, encoder) else answer.hangUp()
     }
 
     private fun fill() {
-        val event = pending ?: session.next()
+        val event = pending ?: answer.next()
         pending = null
         when (event) {
             is AnswerEvent.Text -> encoder.text(event.text)
-            is AnswerEvent.Finished -> finish(event)
-            is AnswerEvent.Failed -> fail(event)
+            is AnswerEvent.Finished -> end { answer.finish(event, encoder) }
+            is AnswerEvent.Failed -> end { answer.fail(event, encoder) }
         }
     }
 
-    private fun finish(event: AnswerEvent.Finished) {
-        ended = true
-        encoder.finish(event, options.includeUsage)
-        options.onEnd(event)
-        trail.end(HttpStatus.OK, RunState.RAN)
-    }
-
-    private fun fail(event: AnswerEvent.Failed) {
+    private fun end(write: () -> Unit) {
         ended = true
-        encoder.error(event.refusal)
-        trail.refuse(event.refusal)
-        options.onEnd(event)
-        trail.endRefused()
+        write()
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/auburnhall/gateway/ChatChunks.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ChatChunks.kt
@@ -1,10 +1,11 @@
 /*
- * The format of answers: server-sent events for streamed ones, one JSON object for the others. The parts of a chunk that
- * stay the same for a request are encoded once.
+ * The format of answers: server-sent events for streamed ones, one JSON object for the others. The parts of a chunk
+ * that stay the same for a request are encoded once.
  */
 package auburnhall.gateway
 
 import auburnhall.core.Refusal
+import auburnhall.core.RequestId
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
@@ -39,6 +40,9 @@
         return n
     }
 
+    /** Takes everything that is left. */
+    fun takeAll(): ByteArray = bytes.copyOfRange(from, to).also { clear() }
+
     private fun clear() {
         from = 0
         to = 0
@@ -87,14 +91,31 @@
     private fun data(json: String) = out.append("data: $json\n\n".toByteArray())
 
     private companion object {
+        const val ROLE_CHOICE =
+            """"choices":[{"index":0,"delta":{"role":"assistant","content":""},"finish_reason":null}]}"""
         val TEXT_SUFFIX = "},\"finish_reason\":null}]}\n\n".toByteArray()
         val DONE = "data: [DONE]\n\n".toByteArray()
     }
 }
 
+/** The streamed form of the whole answer [text], as given to a retry. */
+internal fun wholeStream(
+    head: AnswerHead,
+    text: String,
+    event: AnswerEvent.Finished,
+    withUsage: Boolean,
+): ByteArray {
+    val out = ChunkBuffer()
+    val encoder = ChunkEncoder(head, out)
+    encoder.role()
+    encoder.text(text)
+    encoder.finish(event, withUsage)
+    return out.takeAll()
+}
+
 /** What stays the same over all chunks of an answer. [created] is in seconds since 1970. */
 internal data class AnswerHead(
-    val requestId: auburnhall.core.RequestId,
+    val requestId: RequestId,
     val created: Long,
     val model: String,
 ) {
@@ -113,6 +134,7 @@
     val usage: Usage,
 )
 
+/** The only choice of an answer. */
 @Serializable
 internal data class CompletionChoice(
     val index: Int,
@@ -120,6 +142,7 @@
     @SerialName("finish_reason") val finishReason: String,
 )
 
+/** The message that is the answer. */
 @Serializable
 internal data class CompletionMessage(
     val role: String,
--- a/gateway/src/main/kotlin/auburnhall/gateway/ChatHandler.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ChatHandler.kt
@@ -17,6 +17,8 @@
 internal class ChatHandler(
     private val parts: GatewayParts,
 ) {
+    private val keyedCalls = KeyedCalls(parts)
+
     /** Answers [call]; a streamed answer is returned once its first token has come. */
     fun handle(call: Call): Reply =
         parseChatRequest(call.body).mapBoth(
@@ -36,58 +38,37 @@
             !known -> refused(Reason.UNKNOWN_TARGET, Step.AUTHORISE, chat.model, "The model is not configured.", MODEL)
             chat.model !in call.caller.grant.models ->
                 refused(Reason.NOT_IN_PLAN, Step.AUTHORISE, chat.model, "The plan does not name the model.", MODEL)
-            else -> answer(call, AnswerOrder(call.caller, chat))
+            else -> answer(call, chat)
         }
     }
 
     private fun answer(
+        call: Call,
+        chat: ChatRequest,
+    ): Reply =
+        if (call.request.header(KEY_HEADER) == null) {
+            run(call, AnswerOrder(call.caller, chat), null)
+        } else {
+            keyedCalls.run(call) { run(call, AnswerOrder(call.caller, chat, it.dispatchBefore, once = true), it) }
+        }
+
+    private fun run(
         call: Call,
         order: AnswerOrder,
+        intent: GrantedIntent?,
     ): Reply {
         val session = AnswerSession(parts, order)
+        val answer = ChatAnswer(session, call.trail, head(call, order), order.chat, intent)
         var handedOver = false
         try {
-            val first = session.next()
-            if (first is AnswerEvent.Failed) return Reply.Refused(first.refusal)
-            if (!order.chat.stream) return gather(session, call, order, first)
-            handedOver = true
-            return stream(session, call, order, first)
+            val reply = answer.begin()
+            handedOver = reply is Reply.Streamed
+            return reply
         } finally {
             if (!handedOver) session.close()
         }
     }
 
-    private fun stream(
-        session: AnswerSession,
-        call: Call,
-        order: AnswerOrder,
-        first: AnswerEvent,
-    ): Reply {
-        val out = ChunkBuffer()
-        val options = AnswerStream.Options(order.chat.includeUsage)
-        return Reply.Streamed(
-            EVENT_STREAM,
-            AnswerStream(session, call.trail, ChunkEncoder(head(call, order), out), out, options, first),
-        )
-    }
-
-    private fun gather(
-        session: AnswerSession,
-        call: Call,
-        order: AnswerOrder,
-        first: AnswerEvent,
-    ): Reply {
-        var event = first
-        while (event is AnswerEvent.Text) event = session.next()
-        return when (event) {
-            is AnswerEvent.Failed -> Reply.Refused(event.refusal)
-            is AnswerEvent.Finished -> whole(completionJson(head(call, order), session.text, event))
-            is AnswerEvent.Text -> error("the loop above ends at another event")
-        }
-    }
-
-    private fun whole(json: String) = Reply.Whole(HttpStatus.OK, JSON, json.toByteArray())
-
     private fun head(
         call: Call,
         order: AnswerOrder,
@@ -95,7 +76,6 @@
 
     private companion object {
         const val MODEL = "model"
-        const val EVENT_STREAM = "text/event-stream"
     }
 }
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/ChatRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ChatRequest.kt
@@ -13,12 +13,9 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
-import kotlinx.serialization.json.JsonNull
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
-import kotlinx.serialization.json.booleanOrNull
 import kotlinx.serialization.json.contentOrNull
-import kotlinx.serialization.json.intOrNull
 import java.nio.ByteBuffer
 import java.nio.charset.CharacterCodingException
 
@@ -106,61 +103,3 @@
 }
 
 private fun maxTokens(body: JsonObject): Int? = number(body["max_completion_tokens"]) ?: number(body["max_tokens"])
-
-private fun text(element: JsonElement?): String? = (element as? JsonPrimitive)?.takeIf { it.isString }?.content
-
-private fun number(element: JsonElement?): Int? = (element as? JsonPrimitive)?.takeIf { !it.isString }?.intOrNull
-
-private fun flag(element: JsonElement?): Boolean = (element as? JsonPrimitive)?.booleanOrNull ?: false
-
-private fun isAbsent(element: JsonElement?) = element == null || element is JsonNull
-
-/** A rule about one field of the body. */
-private class FieldRule(
-    val field: String,
-    val message: String,
-    val holds: (JsonElement?) -> Boolean,
-) {
-    fun check(body: JsonObject): FieldError? = if (holds(body[field])) null else FieldError(field, message)
-}
-
-private const val NOT_SUPPORTED = "This field is not supported."
-
-private fun isBoolean(element: JsonElement?) =
-    isAbsent(element) || (element as? JsonPrimitive)?.let { !it.isString && it.booleanOrNull != null } ?: false
-
-private fun isPositive(element: JsonElement?) = isAbsent(element) || (number(element) ?: 0) > 0
-
-private fun isMessage(element: JsonElement): Boolean {
-    val message = element as? JsonObject ?: return false
-    return text(message["role"]) != null && isContent(message["content"])
-}
-
-private fun isContent(content: JsonElement?): Boolean =
-    isAbsent(content) || text(content) != null || (content as? JsonArray)?.all { it is JsonObject } ?: false
-
-/** Answers are resumed as text, so whatever an answer could hold beside one text is not supported. */
-private fun unsupported(field: String) =
-    FieldRule(field, NOT_SUPPORTED) {
-        isAbsent(it) ||
-            !flag(it) &&
-            it is JsonPrimitive ||
-            (it as? JsonArray)?.isEmpty() == true
-    }
-
-private val FIELD_RULES =
-    listOf(
-        FieldRule("model", "It must be the name of a model.") { !text(it).isNullOrEmpty() },
-        FieldRule("messages", "It must be a list of messages, at least one, each with a role and a content.") {
-            it is JsonArray && it.isNotEmpty() && it.all(::isMessage)
-        },
-        FieldRule("stream", "It must be true or false.", ::isBoolean),
-        FieldRule("stream_options", "It must be an object.") { isAbsent(it) || it is JsonObject },
-        FieldRule("max_tokens", "It must be a whole number above 0.", ::isPositive),
-        FieldRule("max_completion_tokens", "It must be a whole number above 0.", ::isPositive),
-        FieldRule("n", "Only 1 is supported.") { isAbsent(it) || number(it) == 1 },
-        unsupported("tools"),
-        unsupported("functions"),
-        unsupported("logprobs"),
-        unsupported("continue_final_message"),
-    )
--- a/gateway/src/main/kotlin/auburnhall/gateway/Filters.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Filters.kt
@@ -23,6 +23,13 @@
 private const val RETRY_SOON_SECONDS = 1L
 private const val CALLER = "caller"
 
+/**
+ * What a refusal before the ledger was asked may say. A call with a key may be a retry, and only the ledger knows
+ * whether the first call was passed on.
+ */
+private val Arrival.refusedRunState: RunState
+    get() = if (request.header(KEY_HEADER) == null) RunState.NOT_RUN else RunState.MAY_HAVE_RUN
+
 /** Refuses new requests once the process has closed. */
 internal class AcceptStage(
     private val state: () -> GatewayState,
@@ -33,7 +40,7 @@
     ): Reply {
         if (state() != GatewayState.CLOSED) return next(input)
         val error = StepError(Step.ACCEPT, "self", "Another entry process will serve it.")
-        return Reply.Refused(Refusal(Reason.DRAINING, RunState.NOT_RUN, error, RETRY_SOON_SECONDS))
+        return Reply.Refused(Refusal(Reason.DRAINING, input.refusedRunState, error, RETRY_SOON_SECONDS))
     }
 }
 
@@ -70,11 +77,15 @@
     ): Reply =
         when (val view = config.current()) {
             is ConfigView.InForce -> next(Configured(input, view.index))
-            is ConfigView.Stale -> stale(view)
+            is ConfigView.Stale -> stale(view, input)
         }
 
-    private fun stale(view: ConfigView.Stale) =
-        Reply.Refused(Refusal(Reason.CONFIGURATION_STALE, RunState.NOT_RUN, view.error, RETRY_SOON_SECONDS))
+    private fun stale(
+        view: ConfigView.Stale,
+        input: Arrival,
+    ) = Reply.Refused(
+        Refusal(Reason.CONFIGURATION_STALE, input.refusedRunState, view.error, RETRY_SOON_SECONDS),
+    )
 }
 
 /** Finds the customer by the API key. */
@@ -84,9 +95,8 @@
         next: (Authenticated) -> Reply,
     ): Reply {
         val key = bearerKey(input) ?: return badKey("The Authorization header with a Bearer key is missing.")
-        val customer = input.index.customerByKey(digestOf(key)) ?: return badKey("The key is not known.")
-        input.arrival.trail.customer = customer
-        return authorised(input, customer, next)
+        val customer = input.index.customerByKey(sha256(key.toByteArray()))
+        return if (customer == null) badKey("The key is not known.") else authorised(input, customer, next)
     }
 
     private fun authorised(
@@ -94,6 +104,7 @@
         customer: Customer,
         next: (Authenticated) -> Reply,
     ): Reply {
+        input.arrival.trail.customer = customer
         val plan =
             input.index.plan(customer.plan)
                 ?: return refused(Reason.NOT_IN_PLAN, Step.AUTHORISE, customer.plan, "The plan is not configured.")
@@ -102,13 +113,14 @@
     }
 
     private fun bearerKey(input: Configured): String? {
-        val value = input.arrival.request.header("Authorization") ?: return null
+        val value =
+            input.arrival.request
+                .header("Authorization")
+                .orEmpty()
         if (!value.startsWith(BEARER, ignoreCase = true)) return null
         return value.substring(BEARER.length).trim().ifEmpty { null }
     }
 
-    private fun digestOf(key: String): String = sha256(key.toByteArray())
-
     private fun badKey(message: String) = refused(Reason.BAD_KEY, Step.AUTHENTICATE, CALLER, message)
 
     private companion object {
--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -1,30 +1,29 @@
 /*
- * The handler that callers reach: routes, the chain that each request passes, and the conversion of replies.
+ * The handler that callers reach: its routes and the chain that each request passes.
  */
 package auburnhall.gateway
 
 import auburnhall.core.HttpStatus
 import auburnhall.core.Reason
 import auburnhall.core.RequestId
-import auburnhall.core.RunState
 import auburnhall.core.Step
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
-import org.http4k.core.Body
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
-import java.io.ByteArrayInputStream
 import java.io.ByteArrayOutputStream
-import java.io.InputStream
 
-/** Returns the handler that serves callers. */
-fun Gateway(parts: GatewayParts): HttpHandler = RealGateway(parts)
+/** The handler that serves callers. */
+interface Gateway : HttpHandler
+
+/** Returns a [Gateway] made of [parts]. */
+fun Gateway(parts: GatewayParts): Gateway = RealGateway(parts)
 
 internal class RealGateway(
     private val parts: GatewayParts,
-) : HttpHandler {
+) : Gateway {
     private val chat = ChatHandler(parts)
     private val models = ModelsHandler()
     private val services = ServiceHandler(parts)
@@ -45,8 +44,8 @@
 
     private fun serve(request: Request): Response {
         val trail = RequestTrail(parts, newRequestId())
-        val guard = ProgressGuard(parts, trail)
-        return guard.run { toResponse(chain.handle(Arrival(request, trail), ::route), trail, guard) }
+        val writer = ReplyWriter(parts, trail)
+        return writer.write { chain.handle(Arrival(request, trail), ::route) }
     }
 
     private fun route(call: Call): Reply {
@@ -60,62 +59,6 @@
         }
     }
 
-    private fun toResponse(
-        reply: Reply,
-        trail: RequestTrail,
-        guard: ProgressGuard,
-    ): Response =
-        when (reply) {
-            is Reply.Streamed -> streamed(reply, trail, guard)
-            is Reply.Whole -> {
-                trail.end(reply.status, reply.runState)
-                whole(reply, trail, guard)
-            }
-            is Reply.Refused -> {
-                trail.refuse(reply.refusal)
-                trail.endRefused()
-                whole(refusalReply(reply, trail), trail, guard)
-            }
-        }
-
-    private fun refusalReply(
-        reply: Reply.Refused,
-        trail: RequestTrail,
-    ): Reply.Whole {
-        val retry = reply.refusal.retryAfterSeconds?.let { HeaderField("Retry-After", it.toString()) }
-        val json = reply.refusal.toJson(trail.requestId, reply.param)
-        return Reply.Whole(reply.refusal.reason.status, JSON, json.toByteArray(), listOfNotNull(retry))
-    }
-
-    private fun whole(
-        reply: Reply.Whole,
-        trail: RequestTrail,
-        guard: ProgressGuard,
-    ): Response {
-        val start = response(reply.status, reply.contentType, trail)
-        val head = reply.headers.fold(start) { r, h -> r.header(h.name, h.value) }
-        val size = reply.body.size
-        val body = guard.guarded(ByteArrayInputStream(reply.body))
-        return head.header("Content-Length", size.toString()).body(Body(body, size.toLong()))
-    }
-
-    private fun streamed(
-        reply: Reply.Streamed,
-        trail: RequestTrail,
-        guard: ProgressGuard,
-    ): Response =
-        response(HttpStatus.OK, reply.contentType, trail)
-            .header("Cache-Control", "no-cache")
-            .body(Body(guard.guarded(reply.body)))
-
-    private fun response(
-        status: Int,
-        contentType: String,
-        trail: RequestTrail,
-    ) = Response(Status(status, null))
-        .header("Content-Type", contentType)
-        .header("X-Request-Id", trail.requestId.value)
-
     private fun ready(): Response =
         when (val state = parts.state()) {
             GatewayState.SERVING -> plain(HttpStatus.OK, "ready")
@@ -145,33 +88,3 @@
         const val SERVICES_PREFIX = "/services/"
     }
 }
-
-internal const val JSON = "application/json"
-
-/** Counts one request as in progress until the body of its answer is closed, or serving it failed. */
-private class ProgressGuard(
-    private val parts: GatewayParts,
-    private val trail: RequestTrail,
-) {
-    private var handedOver = false
-
-    fun run(serve: () -> Response): Response {
-        parts.inProgress.begin()
-        parts.listener.onStart(trail.requestId)
-        try {
-            return serve()
-        } finally {
-            if (!handedOver) end()
-        }
-    }
-
-    fun guarded(body: InputStream): InputStream {
-        handedOver = true
-        return ClosingStream(body, ::end)
-    }
-
-    private fun end() {
-        trail.end(HttpStatus.INTERNAL_ERROR, RunState.MAY_HAVE_RUN)
-        parts.inProgress.end()
-    }
-}
--- a/gateway/src/main/kotlin/auburnhall/gateway/GatewayParts.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/GatewayParts.kt
@@ -34,7 +34,6 @@
  * Sizes and times that bound every request.
  *
  * @property bodyBytes largest request body.
- * @property answerBytes largest answer of a plain service, and largest text of an unstreamed answer.
  * @property headerBytes largest sum of header names and values.
  * @property bodyMillis time from arrival within which the whole request must have come.
  * @property silenceMillis longest time without a token after which a replica counts as failed.
@@ -44,16 +43,20 @@
  * @property defaultMaxTokens tokens reckoned with when the caller names no limit.
  */
 data class GatewaySettings(
-    val bodyBytes: Int = 4 * 1024 * 1024,
-    val answerBytes: Int = 8 * 1024 * 1024,
-    val headerBytes: Int = 12 * 1024,
+    val bodyBytes: Int = BODY_BYTES,
+    val headerBytes: Int = HEADER_BYTES,
     val bodyMillis: Long = 10_000,
     val silenceMillis: Long = 3_000,
     val overtimeMillis: Long = 60_000,
     val attempts: Int = 4,
     val queuedMillis: Long = 100,
     val defaultMaxTokens: Int = 1_024,
-)
+) {
+    private companion object {
+        const val BODY_BYTES = 4 * 1024 * 1024
+        const val HEADER_BYTES = 12 * 1024
+    }
+}
 
 /**
  * Everything the gateway calls.
--- a/gateway/src/main/kotlin/auburnhall/gateway/Headers.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Headers.kt
@@ -1,8 +1,10 @@
 /*
- * Which header fields pass between callers and plain services.
+ * Which header fields pass between callers and plain services, and the path that a service sees.
  */
 package auburnhall.gateway
 
+import org.http4k.core.Uri
+
 /** Fields that concern one connection, or that this process sets itself. */
 private val NOT_FORWARDED =
     setOf(
@@ -34,3 +36,12 @@
 
 /** Whether a header field of a service's answer is passed back to the caller. */
 internal fun isReturned(name: String): Boolean = name.lowercase() !in NOT_RETURNED
+
+/** The path and query of [uri] below `/services/NAME`. */
+internal fun servicePath(
+    uri: Uri,
+    name: String,
+): String {
+    val path = "/" + uri.path.removePrefix("/services/$name").removePrefix("/")
+    return if (uri.query.isEmpty()) path else "$path?${uri.query}"
+}
--- a/gateway/src/main/kotlin/auburnhall/gateway/JettyServiceClient.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/JettyServiceClient.kt
@@ -1,6 +1,6 @@
 /*
- * Calls plain services with Jetty's client. A call counts as sent from the moment at which the client begins to write it
- * to an established connection; whatever fails before that certainly did not reach the service.
+ * Calls plain services with Jetty's client. A call counts as sent from the moment at which the client begins to write
+ * it to an established connection; whatever fails before that certainly did not reach the service.
  */
 package auburnhall.gateway
 
@@ -31,11 +31,15 @@
  * @property connectMillis time within which a connection must be open.
  */
 data class ServiceClientSettings(
-    val answerBytes: Int = 8 * 1024 * 1024,
+    val answerBytes: Int = ANSWER_BYTES,
     val connectMillis: Long = 1_000,
     val threads: Int = 16,
     val connectionsPerInstance: Int = 256,
-)
+) {
+    private companion object {
+        const val ANSWER_BYTES = 8 * 1024 * 1024
+    }
+}
 
 /** Returns a [ServiceClient] over HTTP/1.1. */
 fun ServiceClient(
--- a/gateway/src/main/kotlin/auburnhall/gateway/ServiceClient.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ServiceClient.kt
@@ -21,7 +21,7 @@
  * @property dispatchBefore the first byte must not be sent at or after this; null when it may be sent at any time.
  * @property fresh whether the call needs a connection of its own, so that no idle one can break under it.
  */
-class ServiceCall(
+data class ServiceCall(
     val address: String,
     val method: String,
     val path: String,
--- a/gateway/src/test/kotlin/auburnhall/gateway/Fakes.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/Fakes.kt
@@ -237,15 +237,16 @@
     override fun admit(request: AdmissionRequest): AdmissionResult {
         requests += request
         onAdmit(requests.size)
-        refuse(requests.size)?.let { return AdmissionResult.Refused(it) }
-        val replica = replicas.firstOrNull { it.replica.id !in request.excluded } ?: return none(request)
+        val replica = replicas.firstOrNull { it.replica.id !in request.excluded }
+        val refusal = refuse(requests.size) ?: NO_REPLICA.takeIf { replica == null }
+        if (refusal != null || replica == null) return AdmissionResult.Refused(refusal ?: NO_REPLICA)
         return AdmissionResult.Admitted(FakeTicket(replica, 0).also { tickets += it })
     }
 
-    private fun none(request: AdmissionRequest) =
-        AdmissionResult.Refused(
-            Refusal(Reason.NO_REPLICA, RunState.NOT_RUN, StepError(Step.ADMIT, request.model, "none is left"), 1),
-        )
+    private companion object {
+        val NO_REPLICA =
+            Refusal(Reason.NO_REPLICA, RunState.NOT_RUN, StepError(Step.ADMIT, "m", "none is left"), 1)
+    }
 }
 
 /** A ledger that gives [reservation] and keeps what it was told. */
