--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -13,11 +13,14 @@
 import auburnhall.core.ProcessId
 import auburnhall.engine.EngineClient
 import auburnhall.engine.InstanceList
-import auburnhall.explain.ExplanationLog
+import auburnhall.explain.PeerExplanationLog
 import auburnhall.gateway.Gateway
+import auburnhall.gateway.GatewayListener
+import auburnhall.gateway.GatewayMetrics
 import auburnhall.gateway.GatewayParts
 import auburnhall.gateway.GatewaySettings
 import auburnhall.gateway.GatewayState
+import auburnhall.gateway.RequestLog
 import auburnhall.gateway.RequestsInProgress
 import auburnhall.gateway.ServiceClient
 import auburnhall.http.HttpServer
@@ -35,7 +38,6 @@
 import auburnhall.peer.PeerParts
 import auburnhall.peer.PeerServer
 import auburnhall.peer.PeerService
-import auburnhall.replica.ReplicaEventListener
 import auburnhall.store.etcd.EtcdKeyValueStore
 import auburnhall.store.etcd.EtcdSettings
 import io.prometheus.metrics.instrumentation.jvm.JvmMetrics
@@ -63,7 +65,7 @@
     private val control = ControlPlane(self, controlPorts())
     private val limits = Limits(limitsPorts())
     private val explanations =
-        ExplanationLog(self.process, control.membership, GrpcExplanationPeers(channels), loop, clock)
+        PeerExplanationLog(self.process, control.membership, GrpcExplanationPeers(channels), loop, clock)
     private val shards = LedgerShards(control.membership, LedgerContext(self.process, store, loop, clock, random))
     private val ledger = Ledger(control.membership, shards, GrpcLedgerPeers(channels), clock)
     private val inProgress = RequestsInProgress()
@@ -82,7 +84,11 @@
     /** Begins to read the control state and to serve; [onStopRequested] is called once operators ask for a stop. */
     fun start(onStopRequested: () -> Unit) {
         JvmMetrics.builder().register(registry)
-        metrics.register(control.reporter) { control.membership.view().active.size }
+        metrics.register(control.reporter) {
+            control.membership
+                .view()
+                .active.size
+        }
         control.onFleetChanged = limits::onFleetChanged
         control.onOwnDrain = { if (it.stop) onStopRequested() else leave() }
         loop.execute {
@@ -180,6 +186,7 @@
             explanations = explanations,
             fleet = control::fleet,
             state = { state },
+            listener = GatewayListener(GatewayMetrics(registry, inProgress), RequestLog()),
             metrics = registry,
             inProgress = inProgress,
             settings = GatewaySettings(bodyBytes = settings.callers.maxBodyBytes),
@@ -199,7 +206,14 @@
         val keys = OperatorKeys(settings.operators)
         return operatorRoutes(
             service = OperatorService(clock, store, control.config),
-            status = { control.reporter.status(versionInForce(), control.membership.view().active.size) },
+            status = {
+                control.reporter.status(
+                    versionInForce(),
+                    control.membership
+                        .view()
+                        .active.size,
+                )
+            },
             explain = explanations::find,
             operatorName = keys::nameOf,
         )
--- a/entry/src/main/kotlin/auburnhall/entry/FleetReporter.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/FleetReporter.kt
@@ -50,7 +50,11 @@
         lastAt = nowMillis
         this.input = input
         val present = present(input)
-        val down = input.tables.flatMap { it.replicas }.filter { it.state != ReplicaState.DRAINING && it.id !in present }
+        val down =
+            input.tables
+                .flatMap {
+                    it.replicas
+                }.filter { it.state != ReplicaState.DRAINING && it.id !in present }
         val totals = HashMap(downtimeMillis)
         down.forEach { totals.merge(it.model, passed, Long::plus) }
         downtimeMillis = totals
@@ -64,7 +68,11 @@
     fun strandedAccelerators(): Int {
         val now = input
         val present = present(now)
-        val serving = now.tables.flatMap { it.replicas }.filter { it.id in present }.flatMapTo(HashSet()) { it.members }
+        val serving =
+            now.tables
+                .flatMap { it.replicas }
+                .filter { it.id in present }
+                .flatMapTo(HashSet()) { it.members }
         return now.instances
             .filter { it.kind == InstanceKind.ENGINE && it.state == ListedState.LIVE && it.id !in serving }
             .sumOf { it.accelerators }
@@ -77,7 +85,11 @@
     ): FleetStatus {
         val now = input
         val byId = now.view.replicas.associateBy { it.replica.id }
-        val memberOf = now.tables.flatMap { it.replicas }.flatMap { r -> r.members.map { it to r.id } }.toMap()
+        val memberOf =
+            now.tables
+                .flatMap { it.replicas }
+                .flatMap { r -> r.members.map { it to r.id } }
+                .toMap()
         return FleetStatus(
             process = self,
             configVersion = configVersion,
--- a/peer/src/main/kotlin/auburnhall/peer/GrpcLedgerPeers.kt
+++ b/peer/src/main/kotlin/auburnhall/peer/GrpcLedgerPeers.kt
@@ -127,7 +127,9 @@
     val m = ReserveIntentReply.newBuilder()
     when (this) {
         is ReserveReply.Granted -> m.setState(ReserveIntentReply.State.GRANTED).dispatchWithinMs = withinMillis
-        is ReserveReply.InProgress -> m.setState(ReserveIntentReply.State.IN_PROGRESS).firstRequestId = firstRequest.value
+        is ReserveReply.InProgress ->
+            m.setState(ReserveIntentReply.State.IN_PROGRESS).firstRequestId =
+                firstRequest.value
         is ReserveReply.MayHaveRun ->
             m.setState(ReserveIntentReply.State.MAY_HAVE_RUN).firstRequestId = firstRequest.value
         is ReserveReply.Done -> {
--- a/standin/src/main/kotlin/auburnhall/standin/engine/StandinEngine.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/engine/StandinEngine.kt
@@ -61,6 +61,7 @@
             EngineProtocol.CHAT_PATH -> chat(request)
             EngineProtocol.STATUS_PATH -> json(EngineProtocol.json.encodeToString(EngineStatus.serializer(), status()))
             EngineProtocol.ORDERS_PATH -> order(request)
+            LIVE_PATH -> json("""{"running":${slots.running()},"queued":${slots.queued()}}""")
             "/faults" -> fault(request)
             "/history" -> json(EngineProtocol.json.encodeToString(history.toList()))
             else -> Response(Status.NOT_FOUND)
@@ -189,6 +190,9 @@
 
     private companion object {
         const val MILLIS_PER_SECOND = 1_000L
+
+        /** The load as it is, without the lag of the status; for tests and the demo. */
+        const val LIVE_PATH = "/v1/engine/live"
         const val DEFAULT_TOKENS = 32
         const val CHARS_PER_TOKEN = 4
     }
--- a/standin/src/main/kotlin/auburnhall/standin/platform/PlatformCommand.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/platform/PlatformCommand.kt
@@ -35,7 +35,10 @@
 
     /** Runs until the process is ended. */
     fun run() {
-        start().use { CountDownLatch(1).await() }
+        start().use {
+            println("platform listens at $host:${it.kvPort} and $host:${it.httpPort}")
+            CountDownLatch(1).await()
+        }
     }
 
     /** Starts the stand-in and returns it. */
