Prove replica control under a matrix of faults and random histories

Cause: the first version dissolved broken replicas at once, knew of restarts only from a controller's memory, and held instances back after unanswered orders in memory too. Now the table records each member's run when the replica is formed, and every way out of serving leads through draining, so no entry process can route to what is gone.

--- a/replica/src/main/kotlin/auburnhall/replica/ControlFeed.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ControlValues.kt
@@ -57,7 +57,7 @@
 }
 
 /** Keeps the newest table of each data centre and the newest drain list. Used on the control thread only. */
-internal class ControlFeed : ControlKeyListener {
+internal class ControlValues : ControlKeyListener {
     private val tables = HashMap<DataCentreId, StoredTable>()
     private var drains = DrainList()
     private var drainsRevision = 0L
--- a/replica/src/main/kotlin/auburnhall/replica/EngineFleet.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/EngineFleet.kt
@@ -9,7 +9,6 @@
 import auburnhall.core.InstanceKind
 import auburnhall.core.ListedInstance
 import auburnhall.core.ListedState
-import auburnhall.core.Replica
 import auburnhall.engine.StatusResult
 
 /** The engines of [dataCentre]; used on the control thread. */
@@ -23,7 +22,7 @@
     private var engineCounts = emptyMap<DataCentreId, Int>()
     private var listed = emptyMap<InstanceId, ListedInstance>()
     private var watched = emptyMap<InstanceId, ListedInstance>()
-    private var assigned = emptyMap<InstanceId, Replica>()
+    private var assigned = emptySet<InstanceId>()
     private var drained = emptySet<InstanceId>()
     private var polledSince: Long? = null
     private var blindUntil = Long.MIN_VALUE
@@ -46,15 +45,15 @@
             table
                 ?.replicas
                 .orEmpty()
-                .flatMap { r -> r.members.map { it to r } }
-                .toMap()
+                .flatMap { it.members }
+                .toSet()
         watched = watched.filterKeys { it in assigned } + listed
         val now = clock.monotonicMillis()
         polledSince = if (polls) polledSince ?: now else null
         val targets = if (polls) watched else emptyMap()
         poller.aim(targets.mapValues { it.value.address })
-        book.retain(targets.keys + if (polls) assigned.keys else emptySet())
-        (targets.keys + if (polls) assigned.keys else emptySet()).forEach { book.asked(it, now) }
+        book.retain(targets.keys + if (polls) assigned else emptySet())
+        (targets.keys + if (polls) assigned else emptySet()).forEach { book.asked(it, now) }
         poller.tick()
         if (hasGoneBlind(now)) blindUntil = now + ReplicaTiming.BLIND_HOLD_MILLIS
     }
@@ -71,9 +70,11 @@
         return health.isEmpty() || health.count { it.isPresent(now) } * BLIND_DIVISOR >= health.size
     }
 
-    /** Tells whether this process polls the engines and hears from them. */
-    fun seesEngines(now: Long): Boolean =
-        polledSince != null && !isBlind(now) && (listed.isEmpty() || book.all.values.any { it.isPresent(now) })
+    /** Tells whether this process polls the engines, has had time to ask all of them, and hears from some. */
+    fun seesEngines(now: Long): Boolean {
+        val warm = polledSince?.let { now - it >= WARM_UP_MILLIS } ?: false
+        return warm && !isBlind(now) && (listed.isEmpty() || book.all.values.any { it.isPresent(now) })
+    }
 
     /** The engines as of now. */
     fun view(): EngineView =
@@ -92,8 +93,12 @@
     fun stepContext(): StepContext {
         val now = clock.monotonicMillis()
         val safe = watched.filterValues { it.honoursFencing }.keys.filter { book.all[it]?.isPresent(now) ?: false }
-        val generations = book.all.mapValues { it.value.status?.generation ?: 0 }
-        return StepContext(assigned.keys - safe.toSet(), generations)
+        return StepContext(
+            assigned - safe.toSet(),
+            book.all.values
+                .mapNotNull { it.status }
+                .associateBy { it.instance },
+        )
     }
 
     private fun leaving(): Set<InstanceId> {
@@ -112,10 +117,11 @@
         val status = (answer.result as? StatusResult.Success)?.status ?: return
         if (status.instance != answer.instance) return
         val now = clock.monotonicMillis()
-        book.update(answer.instance) { it.answered(status, answer.sentAt, now, assigned[answer.instance]) }
+        book.update(answer.instance) { it.answered(status, answer.sentAt, now) }
     }
 
     private companion object {
         const val BLIND_DIVISOR = 4
+        const val WARM_UP_MILLIS = 2 * ReplicaTiming.POLL_PERIOD_MILLIS
     }
 }
--- a/replica/src/main/kotlin/auburnhall/replica/FleetViewController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/FleetViewController.kt
@@ -25,7 +25,7 @@
     /** The platform's list was read. */
     fun onInstanceList(instances: List<ListedInstance>)
 
-    /** A report came that was made at [madeAtMillis] of this process's clock or later; see [ReportTimeline]. */
+    /** A report came that was made at [madeAtMillis] of this process's clock or later: when it was asked for. */
     fun onLoad(
         load: DataCentreLoad,
         madeAtMillis: Long,
@@ -107,7 +107,7 @@
 
 internal class RealFleetViewController(
     private val clock: Clock,
-    private val feed: ControlFeed = ControlFeed(),
+    private val feed: ControlValues = ControlValues(),
 ) : FleetViewController,
     ControlKeyListener by feed {
     private var inputs = FleetInputs()
--- a/replica/src/main/kotlin/auburnhall/replica/InstanceHealth.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/InstanceHealth.kt
@@ -1,6 +1,5 @@
 /*
- * What the controller has seen of each engine: its last status, when it was asked for, and whether the engine has lost
- * what it held by a restart.
+ * What the controller has seen of each engine: its last status and when it was asked for.
  */
 package auburnhall.replica
 
@@ -16,7 +15,6 @@
  * @property aliveAt when the request that was answered last had been sent; null before the first answer.
  * @property answeringSince since when it has answered without a gap of [ReplicaTiming.PRESENCE_MILLIS] or a restart.
  * @property roundTripMillis smoothed time to answer.
- * @property lostGeneration replicas up to this generation have lost the instance's state, because it restarted.
  * @property missingSince since when the instance reports that it cannot reach another member; null while it can.
  * @property idleSince since when every answer named no work; null while there is some.
  */
@@ -26,7 +24,6 @@
     val answeringSince: Long? = null,
     val status: EngineStatus? = null,
     val roundTripMillis: Long = 0,
-    val lostGeneration: Long = 0,
     val missingSince: Long? = null,
     val idleSince: Long? = null,
 ) {
@@ -42,38 +39,40 @@
     /** Tells whether the instance says that it holds nothing. */
     val isIdle: Boolean get() = status?.let { it.state == EngineState.IDLE && it.replica == null } ?: false
 
-    /** Tells whether the instance itself names [replica], its generation, model and version. */
+    /** Tells whether the instance itself names [replica], its generation, model and version, and has not restarted. */
     fun names(replica: Replica): Boolean {
         val s = status ?: return false
-        return s.replica == replica.id &&
-            s.generation == replica.generation &&
-            s.model == replica.model &&
-            s.modelVersion == replica.modelVersion &&
-            lostGeneration < replica.generation
+        val named = s.replica == replica.id && s.generation == replica.generation
+        val loaded = s.model == replica.model && s.modelVersion == replica.modelVersion
+        return named && loaded && isSameRun(replica)
+    }
+
+    /** Tells whether the instance has not restarted since [replica] was formed, as far as is known. */
+    fun isSameRun(replica: Replica): Boolean {
+        val s = status ?: return true
+        val recorded = replica.incarnations.getOrNull(replica.members.indexOf(s.instance))
+        return recorded == null || recorded == s.incarnation
     }
 
     /** Tells whether the instance itself says that it is ready to serve as a member of [replica]. */
     fun isReadyFor(replica: Replica): Boolean =
         names(replica) && status?.state == EngineState.READY && missingSince == null
 
-    /** The health after [status] came to a request sent at [sentAt]; [assigned] is the instance's replica, if any. */
+    /** The health after [status] came to a request sent at [sentAt]. */
     fun answered(
         status: EngineStatus,
         sentAt: Long,
         now: Long,
-        assigned: Replica?,
     ): InstanceHealth {
         val before = this.status
         val restarted = before != null && before.incarnation != status.incarnation
-        val held = maxOf(before?.generation ?: 0, assigned?.generation ?: 0)
-        val took = now - sentAt
         val unbroken = !restarted && isPresent(sentAt)
+        val took = now - sentAt
         return copy(
             aliveAt = sentAt,
             answeringSince = if (unbroken) answeringSince else sentAt,
             status = status,
             roundTripMillis = if (aliveAt == null) took else (roundTripMillis * SMOOTHING + took) / (SMOOTHING + 1),
-            lostGeneration = if (restarted) maxOf(lostGeneration, held) else lostGeneration,
             missingSince = if (status.missingMembers.isEmpty()) null else missingSince ?: now,
             idleSince = if (status.running + status.queued > 0) null else idleSince ?: sentAt,
         )
--- a/replica/src/main/kotlin/auburnhall/replica/LoadReport.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/LoadReport.kt
@@ -58,23 +58,6 @@
     }
 }
 
-/**
- * Gives the earliest moment, on this process's scale, at which a report received over one stream can have been made.
- * The first report was made after the stream was asked for at [openedAtMillis]; later ones by their distance from it.
- * A report that was held up on its way is therefore never taken for a fresh one.
- */
-class ReportTimeline(
-    private val openedAtMillis: Long,
-) {
-    private var first: Long? = null
-
-    /** The earliest moment for a report made at [asOfMillis] of the reporter's scale. */
-    fun earliest(asOfMillis: Long): Long {
-        val base = first ?: asOfMillis.also { first = it }
-        return openedAtMillis + (asOfMillis - base)
-    }
-}
-
 /** The report about every replica of [table] that is not forming. */
 internal fun loadOf(
     table: AssignmentTable,
--- a/replica/src/main/kotlin/auburnhall/replica/OrderSender.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/OrderSender.kt
@@ -26,15 +26,13 @@
     private data class Progress(
         val sentAt: Long,
         val inFlight: Boolean,
-        val uncertainUntil: Long,
     )
 
     private val clock = environment.clock
     private val progress = HashMap<InstanceId, Progress>()
 
-    /** Instances at which an order may still arrive, or that were not heard of since one did. */
-    fun uncertain(health: Map<InstanceId, InstanceHealth>): Set<InstanceId> =
-        progress.filter { (i, p) -> p.inFlight || (health[i]?.aliveAt ?: Long.MIN_VALUE) <= p.uncertainUntil }.keys
+    /** Instances with an order under way. */
+    fun inFlight(): Set<InstanceId> = progress.filterValues { it.inFlight }.keys
 
     /** Those of [orders] that are not under way and were not given a moment ago. */
     fun due(orders: List<AddressedOrder>): List<AddressedOrder> {
@@ -50,7 +48,7 @@
         order: AddressedOrder,
         allowedUntil: Long,
     ) {
-        progress[order.instance] = Progress(clock.monotonicMillis(), inFlight = true, uncertainUntil = 0)
+        progress[order.instance] = Progress(clock.monotonicMillis(), inFlight = true)
         environment.loop.call(
             io = {
                 if (clock.monotonicMillis() >= allowedUntil) {
@@ -67,10 +65,7 @@
         order: AddressedOrder,
         delivery: Delivery,
     ) {
-        val now = clock.monotonicMillis()
-        val unanswered = delivery is Delivery.Sent && delivery.result is OrderResult.Error
-        val until = if (unanswered) now + ReplicaTiming.ORDER_LIFE_MILLIS else now
-        progress[order.instance] = Progress(now, inFlight = false, uncertainUntil = until)
+        progress[order.instance] = Progress(clock.monotonicMillis(), inFlight = false)
         if (delivery is Delivery.Sent) onAnswer(order.order, delivery.result)
     }
 }
--- a/replica/src/main/kotlin/auburnhall/replica/PlacementStep.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/PlacementStep.kt
@@ -9,6 +9,7 @@
 import auburnhall.core.Replica
 import auburnhall.core.ReplicaId
 import auburnhall.core.ReplicaState
+import auburnhall.engine.EngineStatus
 
 /** Why a replica is drained or dissolved. */
 enum class StepReason {
@@ -82,11 +83,11 @@
  * What the steps need to know of instances.
  *
  * @property unsafe instances that ignore fencing or cannot be asked; they are quarantined when their replica goes.
- * @property generations the highest generation that each instance reports.
+ * @property statuses the last status of each instance.
  */
 internal data class StepContext(
     val unsafe: Set<InstanceId>,
-    val generations: Map<InstanceId, Long>,
+    val statuses: Map<InstanceId, EngineStatus>,
 )
 
 /** The table after [steps]. */
@@ -112,10 +113,18 @@
     step: PlacementStep.Form,
     context: StepContext,
 ): AssignmentTable {
-    val seen = step.members.maxOf { context.generations[it] ?: 0 }
-    val generation = maxOf(lastGeneration, seen) + 1
-    val id = ReplicaId("${dataCentre.value}-${step.model}-$generation")
-    val replica = Replica(id, step.model, step.modelVersion, step.members, generation, ReplicaState.FORMING)
+    val statuses = step.members.map { context.statuses[it] }
+    val generation = maxOf(lastGeneration, statuses.maxOf { it?.generation ?: 0 }) + 1
+    val replica =
+        Replica(
+            id = ReplicaId("${dataCentre.value}-${step.model}-$generation"),
+            model = step.model,
+            modelVersion = step.modelVersion,
+            members = step.members,
+            generation = generation,
+            state = ReplicaState.FORMING,
+            incarnations = statuses.map { it?.incarnation.orEmpty() },
+        )
     return copy(lastGeneration = generation, replicas = replicas + replica)
 }
 
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaTiming.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaTiming.kt
@@ -62,7 +62,4 @@
 
     /** How long a process that could not reach the engines leaves control to others. */
     const val BLIND_HOLD_MILLIS = 60_000L
-
-    /** How long engines are polled after the last call of [TableController.loadReport]. */
-    const val ASKED_MILLIS = 10_000L
 }
--- a/replica/src/main/kotlin/auburnhall/replica/Review.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Review.kt
@@ -14,15 +14,12 @@
 private fun review(
     replica: Replica,
     state: ReviewState,
-): PlacementStep? {
-    val broken = brokenBy(replica, state)
-    if (broken != null) return PlacementStep.Dissolve(replica.id, broken)
-    return when (replica.state) {
+): PlacementStep? =
+    when (replica.state) {
         ReplicaState.FORMING -> reviewForming(replica, state)
         ReplicaState.SERVING -> reviewServing(replica, state)
         ReplicaState.DRAINING -> reviewDraining(replica, state)
     }
-}
 
 /** Why [replica] can no longer serve; null while it can or may be able to again. */
 private fun brokenBy(
@@ -45,7 +42,7 @@
 ): Boolean {
     val status = health.status ?: return false
     val failed = health.names(replica) && status.state == EngineState.FAILED
-    val overtaken = status.generation > replica.generation || health.lostGeneration >= replica.generation
+    val overtaken = status.generation > replica.generation || !health.isSameRun(replica)
     val confirmed = replica.state != ReplicaState.FORMING
     return failed || overtaken || (confirmed && !(health.names(replica) && status.state == EngineState.READY))
 }
@@ -61,23 +58,28 @@
 ): PlacementStep? {
     val members = replica.members.map { state.health(it) }
     val ready = members.all { it.isReadyFor(replica) && it.isPresent(state.nowMillis) }
+    val broken = brokenBy(replica, state)
     return when {
-        replica.members.any { it in state.leaving } -> dissolve(replica, StepReason.MEMBER_LEAVING)
+        broken != null -> PlacementStep.Dissolve(replica.id, broken)
+        replica.members.any { it in state.leaving } -> PlacementStep.Dissolve(replica.id, StepReason.MEMBER_LEAVING)
         ready -> PlacementStep.Serve(replica.id)
-        state.ageMillis(replica) > ReplicaTiming.FORM_TIMEOUT_MILLIS -> dissolve(replica, StepReason.FORM_TIMEOUT)
+        state.ageMillis(replica) > ReplicaTiming.FORM_TIMEOUT_MILLIS ->
+            PlacementStep.Dissolve(replica.id, StepReason.FORM_TIMEOUT)
         else -> null
     }
 }
 
+/** Every way out leads through draining, which lasts until no entry process can be routing to the replica. */
 private fun reviewServing(
     replica: Replica,
     state: ReviewState,
-): PlacementStep? =
-    when {
-        replica.members.any { it in state.leaving } -> PlacementStep.Drain(replica.id, StepReason.MEMBER_LEAVING)
-        replica.members.any { it in state.stragglers } -> PlacementStep.Drain(replica.id, StepReason.STRAGGLER)
-        else -> null
-    }
+): PlacementStep? {
+    val reason =
+        brokenBy(replica, state)
+            ?: StepReason.MEMBER_LEAVING.takeIf { replica.members.any { it in state.leaving } }
+            ?: StepReason.STRAGGLER.takeIf { replica.members.any { it in state.stragglers } }
+    return reason?.let { PlacementStep.Drain(replica.id, it) }
+}
 
 /** Waits until no entry process routes to [replica] and then for an answer, asked for later, that names no work. */
 private fun reviewDraining(
@@ -86,12 +88,12 @@
 ): PlacementStep? {
     val settledAt = (state.since[replica.id] ?: state.nowMillis) + ReplicaTiming.DRAIN_SETTLE_MILLIS
     val leader = state.health(replica.leader)
-    val askedSince = (leader.aliveAt ?: Long.MIN_VALUE) > settledAt
+    val answered = (leader.aliveAt ?: Long.MIN_VALUE) > settledAt
     val idle = leader.status?.let { it.running == 0 && it.queued == 0 } ?: false
-    return if (askedSince && idle) dissolve(replica, StepReason.DRAINED) else null
+    val broken = brokenBy(replica, state).takeIf { state.nowMillis > settledAt }
+    return when {
+        broken != null -> PlacementStep.Dissolve(replica.id, broken)
+        answered && idle -> PlacementStep.Dissolve(replica.id, StepReason.DRAINED)
+        else -> null
+    }
 }
-
-private fun dissolve(
-    replica: Replica,
-    reason: StepReason,
-) = PlacementStep.Dissolve(replica.id, reason)
--- a/replica/src/main/kotlin/auburnhall/replica/TableControl.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/TableControl.kt
@@ -12,7 +12,7 @@
 
 /** Where a [TableControl] reads from. */
 internal data class ControlSources(
-    val feed: ControlFeed,
+    val feed: ControlValues,
     val fleet: EngineFleet,
 )
 
@@ -40,8 +40,11 @@
 
     private val stored: StoredTable? get() = sources.feed.stored(dataCentre)
 
-    /** Whether this process has, or is the first to claim, control, so that it must hear from the engines. */
-    val needsEngines: Boolean get() = tenure.isHeld || order.firstOrNull() == self
+    /** The table's controller while it answers, so that its word is heard even when others are ranked before it. */
+    val reporter: ProcessId? get() = stored?.table?.controller?.takeIf { it in order } ?: order.firstOrNull()
+
+    /** Whether this process controls the table, reports, or is the first to claim control. */
+    val needsEngines: Boolean get() = tenure.isHeld || reporter == self || order.firstOrNull() == self
 
     /** Does what is due at [now]. */
     fun tick(now: Long) {
@@ -95,7 +98,7 @@
         val urgent = review(reviewState(table, view, tenure, slow))
         val usage = usage
         if (urgent.isNotEmpty() || usage == null) return urgent
-        val held = orders.uncertain(view.health) + resting.at(now)
+        val held = orders.inFlight() + resting.at(now)
         val request = PlacementRequest(usage, sources.feed.tables(), tenure.losses.byModel, held)
         return plan(placementState(table, view, request))
     }
--- a/replica/src/main/kotlin/auburnhall/replica/TableController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/TableController.kt
@@ -28,8 +28,11 @@
     /** Does what is due. Call every [ReplicaTiming.TICK_MILLIS]. */
     fun tick()
 
-    /** The load news as of now. Engines are polled while this is called. Any thread. */
+    /** The load news as of now, without replicas when this process does not poll the engines. Any thread. */
     fun loadReport(): DataCentreLoad
+
+    /** The process that polls the engines: the table's controller, or the next in turn when it is gone. Any thread. */
+    fun reporter(): ProcessId?
 }
 
 /** Returns a [TableController] of [dataCentre]'s table for the process [self]. */
@@ -45,7 +48,7 @@
     self: ProcessId,
     environment: ReplicaEnvironment,
     listener: ReplicaEventListener,
-    private val feed: ControlFeed = ControlFeed(),
+    private val feed: ControlValues = ControlValues(),
 ) : TableController,
     ControlKeyListener by feed {
     private val clock = environment.clock
@@ -53,7 +56,7 @@
     private val control = TableControl(dataCentre, self, environment, listener, ControlSources(feed, fleet))
 
     @Volatile
-    private var askedAt: Long? = null
+    private var reporter: ProcessId? = null
 
     @Volatile
     private var published = DataCentreLoad(dataCentre, controller = false, asOfMillis = clock.monotonicMillis())
@@ -76,16 +79,14 @@
         control.isStopping = true
     }
 
-    override fun loadReport(): DataCentreLoad {
-        val now = clock.monotonicMillis()
-        askedAt = now
-        return published.asOf(now)
-    }
+    override fun loadReport(): DataCentreLoad = published.asOf(clock.monotonicMillis())
+
+    override fun reporter(): ProcessId? = reporter
 
     override fun tick() {
         val now = clock.monotonicMillis()
-        val asked = askedAt?.let { now - it < ReplicaTiming.ASKED_MILLIS } ?: false
-        fleet.tick(feed.stored(dataCentre)?.table, feed.drained(), asked || control.needsEngines)
+        reporter = control.reporter
+        fleet.tick(feed.stored(dataCentre)?.table, feed.drained(), control.needsEngines)
         control.tick(now)
         publish(now)
     }
--- a/replica/src/test/kotlin/auburnhall/replica/FakeEngines.kt
+++ b/replica/src/test/kotlin/auburnhall/replica/FakeEngines.kt
@@ -3,12 +3,13 @@
  */
 package auburnhall.replica
 
-import auburnhall.core.DataCentreId
 import auburnhall.core.FabricDomainId
 import auburnhall.core.InstanceId
 import auburnhall.core.InstanceKind
 import auburnhall.core.ListedInstance
 import auburnhall.core.ListedState
+import auburnhall.core.ProcessId
+import auburnhall.core.Replica
 import auburnhall.core.Step
 import auburnhall.core.StepError
 import auburnhall.engine.ChatCall
@@ -29,10 +30,15 @@
 ) {
     var dead = false
     var paused = false
+        set(value) {
+            field = value
+            if (!value) {
+                waiting.forEach { it() }
+                waiting.clear()
+            }
+        }
     var leaving = false
     var failsToLoad = false
-    var running = 0
-    var queued = 0
     var tokensPerSecond = USUAL_TOKENS_PER_SECOND
     var missing = emptyList<InstanceId>()
     var incarnation = 1
@@ -42,6 +48,21 @@
     var generation = 0L
         private set
     private var readyAt = 0L
+    private var lostForm: EngineOrder.Form? = null
+    private val work = ArrayList<Long>()
+
+    /** Orders that came while the engine was paused; it finds them when it resumes. */
+    val waiting = ArrayList<() -> Unit>()
+
+    /** Requests in progress. */
+    val running: Int
+        get() {
+            work.removeAll { it <= clock.monotonicMillis() }
+            return work.size
+        }
+
+    /** Whether the engine is really a working part of the replica that it was ordered into. */
+    val isWhole: Boolean get() = isAnswering && isReady && form != lostForm && missing.isEmpty()
 
     val isAnswering: Boolean get() = !dead && !paused
 
@@ -49,17 +70,28 @@
 
     /** Comes back; [keepsState] as if nothing had happened. */
     fun restart(keepsState: Boolean = false) {
+        waiting.clear()
         dead = false
         paused = false
         incarnation += 1
-        running = 0
-        queued = 0
+        work.clear()
+        lostForm = form
         if (!keepsState) {
             form = null
             generation = 0
         }
     }
 
+    /** Runs a request of [replica] for [millis], if this engine lets it; returns the replica that really serves it. */
+    fun run(
+        replica: Replica,
+        millis: Long,
+    ): EngineOrder.Form? {
+        val held = form?.takeIf { it.generation == replica.generation || !listed.honoursFencing }
+        if (held != null && isAnswering && isReady) work += clock.monotonicMillis() + millis
+        return held?.takeIf { isAnswering && isReady }
+    }
+
     fun status(): EngineStatus {
         val f = form
         return EngineStatus(
@@ -72,7 +104,6 @@
             state = state(),
             missingMembers = missing,
             running = running,
-            queued = queued,
             capacity = if (isReady) CAPACITY else 0,
             tokensPerSecond = tokensPerSecond,
             leaving = leaving,
@@ -84,7 +115,7 @@
         if (listed.honoursFencing && order.generation < generation) return OrderResult.Fenced(generation)
         when (order) {
             is EngineOrder.Form -> load(order)
-            is EngineOrder.Release -> form = null
+            is EngineOrder.Release -> release()
         }
         generation = order.generation
         return OrderResult.Accepted
@@ -93,9 +124,16 @@
     private fun load(order: EngineOrder.Form) {
         if (form == order) return
         form = order
+        lostForm = null
+        work.clear()
         readyAt = clock.monotonicMillis() + loadMillis
     }
 
+    private fun release() {
+        form = null
+        work.clear()
+    }
+
     private fun state(): EngineState =
         when {
             form == null -> EngineState.IDLE
@@ -110,54 +148,90 @@
     }
 }
 
-/** An order as an engine saw it. */
+/**
+ * An order as an engine saw it.
+ *
+ * @property before what the engine held when the order came.
+ * @property cutOff requests that were in progress when the order came.
+ */
 internal data class SeenOrder(
+    val sentAtMillis: Long,
     val atMillis: Long,
+    val sender: ProcessId,
     val instance: InstanceId,
     val order: EngineOrder,
+    val before: EngineOrder.Form?,
+    val cutOff: Int,
     val result: OrderResult,
 )
 
+/** What can happen to calls between one process and the engines. */
+internal class EngineFaults {
+    /** Which engines the process can talk to. */
+    var reaches: (InstanceId) -> Boolean = { true }
+
+    /** Whether orders are carried out but their answers lost. */
+    var losesAnswers = false
+
+    /** Orders held up so far. */
+    var delayed = 0
+
+    /** Whether orders arrive only after the sender has given them up. */
+    var delaysOrders = false
+}
+
 /** All engines of a test; addresses are the instances' identifiers. */
 internal class FakeEngines(
     private val clock: FakeClock,
 ) {
+    private class Late(
+        val atMillis: Long,
+        val deliver: () -> Unit,
+    )
+
     val engines = LinkedHashMap<InstanceId, FakeEngine>()
     val orders = ArrayList<SeenOrder>()
+    private val late = ArrayList<Late>()
 
     /** Adds [count] engines to a domain. */
     fun add(
-        dataCentre: String,
         domain: String,
         count: Int,
         loadMillis: Long = LOAD_MILLIS,
         honoursFencing: Boolean = true,
     ) {
         repeat(count) { i ->
-            val id = "$domain-i${i + 1}"
+            val id = InstanceId("$domain-i${i + 1}")
             val listed =
                 ListedInstance(
-                    id = InstanceId(id),
+                    id = id,
                     kind = InstanceKind.ENGINE,
-                    address = id,
-                    dataCentre = DataCentreId(dataCentre),
+                    address = id.value,
+                    dataCentre = DC,
                     fabricDomain = FabricDomainId(domain),
                     state = ListedState.LIVE,
                     accelerators = 1,
                     honoursFencing = honoursFencing,
                 )
-            engines[listed.id] = FakeEngine(listed, clock, loadMillis)
+            engines[id] = FakeEngine(listed, clock, loadMillis)
         }
     }
 
-    operator fun get(id: String): FakeEngine = engines.getValue(InstanceId(id))
+    operator fun get(id: InstanceId): FakeEngine = engines.getValue(id)
 
     fun listed(): List<ListedInstance> = engines.values.map { it.listed }
 
-    /** A process's connection to the engines; [reaches] says which it can talk to. */
+    /** Delivers the orders that were held up. */
+    fun tick() {
+        val due = late.filter { it.atMillis <= clock.monotonicMillis() }
+        late.removeAll(due)
+        due.forEach { it.deliver() }
+    }
+
+    /** The connection of the process [sender]. */
     inner class Client(
-        private val reaches: (InstanceId) -> Boolean = { true },
-        private val losesAnswer: (InstanceId) -> Boolean = { false },
+        private val sender: ProcessId,
+        private val faults: EngineFaults,
     ) : EngineClient {
         override fun chat(
             address: String,
@@ -173,17 +247,48 @@
             address: String,
             order: EngineOrder,
         ): OrderResult {
-            val engine = reachable(address) ?: return OrderResult.Error(error(address))
-            val result = engine.order(order)
-            orders += SeenOrder(clock.monotonicMillis(), engine.listed.id, order, result)
-            return if (losesAnswer(engine.listed.id)) OrderResult.Error(error(address)) else result
+            val engine = engines.getValue(InstanceId(address))
+            val now = clock.monotonicMillis()
+            val unreachable = engine.dead || !faults.reaches(engine.listed.id)
+            return when {
+                unreachable -> OrderResult.Error(error(address))
+                engine.paused -> delay(address) { engine.waiting += { see(engine, order, now) } }
+                faults.delaysOrders -> delay(address) { late += Late(arrival()) { see(engine, order, now) } }
+                else -> see(engine, order, now).takeUnless { faults.losesAnswers } ?: OrderResult.Error(error(address))
+            }
+        }
+
+        private fun arrival() = clock.monotonicMillis() + DELAY_MILLIS
+
+        private fun delay(
+            address: String,
+            keep: () -> Unit,
+        ): OrderResult {
+            keep()
+            faults.delayed += 1
+            return OrderResult.Error(error(address))
         }
 
         override fun close() = Unit
 
+        private fun see(
+            engine: FakeEngine,
+            order: EngineOrder,
+            sentAt: Long,
+        ): OrderResult {
+            if (engine.dead) return OrderResult.Error(error(engine.listed.address))
+            val before = engine.form
+            val running = engine.running
+            val result = engine.order(order)
+            val cutOff = if (engine.form == before) 0 else running
+            val now = clock.monotonicMillis()
+            orders += SeenOrder(sentAt, now, sender, engine.listed.id, order, before, cutOff, result)
+            return result
+        }
+
         private fun reachable(address: String): FakeEngine? {
             val id = InstanceId(address)
-            return engines[id]?.takeIf { it.isAnswering && reaches(id) }
+            return engines[id]?.takeIf { it.isAnswering && faults.reaches(id) }
         }
 
         private fun error(address: String) = StepError(Step.FORM, address, "no answer")
@@ -191,5 +296,6 @@
 
     companion object {
         const val LOAD_MILLIS = 20_000L
+        const val DELAY_MILLIS = 4_000L
     }
 }
--- a/replica/src/test/kotlin/auburnhall/replica/ReplicaWorld.kt
+++ b/replica/src/test/kotlin/auburnhall/replica/ReplicaWorld.kt
@@ -3,9 +3,12 @@
  */
 package auburnhall.replica
 
+import auburnhall.core.AssignmentTable
 import auburnhall.core.ChangeRecord
 import auburnhall.core.Configuration
 import auburnhall.core.DataCentreId
+import auburnhall.core.DrainList
+import auburnhall.core.DrainRequest
 import auburnhall.core.InstanceId
 import auburnhall.core.ListedInstance
 import auburnhall.core.ModelSpec
@@ -13,6 +16,7 @@
 import auburnhall.core.UsageList
 import auburnhall.membership.Member
 import auburnhall.membership.MembershipView
+import auburnhall.store.ABSENT
 import auburnhall.store.Keys
 import auburnhall.store.ReadResult
 import auburnhall.store.StoreEntry
@@ -21,6 +25,7 @@
 import auburnhall.test.FakeControlLoop
 import auburnhall.test.FakeKeyValueStore
 import auburnhall.test.StoreFault
+import kotlinx.serialization.json.Json
 import kotlin.random.Random
 
 internal val DC = DataCentreId("dc1")
@@ -32,29 +37,36 @@
 ) {
     val member = Member(ProcessId(name), InstanceId("entry-$name"), DC, "$name:1", "$name:2")
     val loop = FakeControlLoop(world.clock)
-    var storeFault = StoreFault.NONE
-    var reachesEngines: (InstanceId) -> Boolean = { true }
-    var losesOrderAnswers: (InstanceId) -> Boolean = { false }
+    val engineFaults = EngineFaults()
+    var storeFault: () -> StoreFault = { StoreFault.NONE }
     var isRunning = true
     var isPaused = false
-    private val store = world.store.client { storeFault }
-    private val engines = world.engines.Client({ reachesEngines(it) }, { losesOrderAnswers(it) })
+    private val store = world.store.client { storeFault() }
+    private val engines = world.engines.Client(member.process, engineFaults)
     private val environment = ReplicaEnvironment(store, engines, loop, world.clock, Random(world.seed))
     val controller = TableController(DC, member.process, environment)
     val fleet = FleetViewController(world.clock)
     private var watching = false
 
+    val isUp: Boolean get() = isRunning && !isPaused
+
+    /** Whether the store's answers and events reach this process. */
+    var isCutOff = false
+        set(value) {
+            field = value
+            storeFault = { if (value) StoreFault.LOST_CALL else StoreFault.NONE }
+            if (value) store.holdEvents = true else store.releaseEvents()
+        }
+
     fun tick() {
-        if (!isRunning || isPaused) return
-        if (!watching) watch()
+        if (!isUp) return
+        if (!watching && !isCutOff) watch()
         loop.runDue()
         controller.tick()
         fleet.tick()
         loop.runDue()
     }
 
-    fun holdEvents(held: Boolean) = if (held) store.holdEvents = true else store.releaseEvents()
-
     private fun watch() {
         val read = store.list(Keys.CONTROL) as? ReadResult.Success ?: return
         controller.onSnapshot(read.entries)
@@ -80,6 +92,12 @@
     }
 }
 
+/** A table and when the store took it. */
+internal data class TimedTable(
+    val atMillis: Long,
+    val table: AssignmentTable,
+)
+
 /** Everything that one history runs in. */
 internal class ReplicaWorld(
     val seed: Int = 1,
@@ -89,25 +107,42 @@
     val store = FakeKeyValueStore(clock)
     val engines = FakeEngines(clock)
     val processes = ArrayList<FakeProcess>()
+    val tables = ArrayList<TimedTable>()
+
+    /** What the platform's list says; null while it is right. */
     var list: List<ListedInstance>? = null
     var models = models
-        set(value) {
-            field = value
-            spread()
-        }
+    val invariants = Invariants(this)
+
+    /** Two processes that do not hear each other, so that each may think it is the first in turn. */
+    var apart: Pair<FakeProcess, FakeProcess>? = null
+    private var drains = emptyList<DrainRequest>()
 
     fun start(vararg names: String) {
         names.forEach { processes += FakeProcess(it, this) }
+        store.client().watch(Keys.ASSIGNMENTS, 0, TableLog())
         spread()
     }
 
+    private inner class TableLog : WatchListener {
+        override fun onPut(entry: StoreEntry) {
+            TableCodec.table(entry.value)?.let { tables += TimedTable(clock.monotonicMillis(), it) }
+        }
+
+        override fun onDelete(key: String) = error("$key was deleted")
+
+        override fun onLost(message: String) = Unit
+    }
+
     /** Tells every running process the list, the configuration and who answers. */
     fun spread() {
         val running = processes.filter { it.isRunning }
         val members = running.map { it.member }
-        running.filterNot { it.isPaused }.forEach { p ->
-            val answering = running.filterNot { it.isPaused }.map { it.member.process }.toSet()
-            p.controller.onMembership(MembershipView(p.member, members, answering))
+        val answering = running.filter { it.isUp }.map { it.member.process }.toSet()
+        running.filter { it.isUp }.forEach { p ->
+            val unheard = apart?.let { (a, b) -> if (p == a) b else a.takeIf { p == b } }
+            val heard = answering - setOfNotNull(unheard?.member?.process)
+            p.controller.onMembership(MembershipView(p.member, members, heard))
             p.controller.onInstanceList(list ?: engines.listed())
             p.fleet.onInstanceList(list ?: engines.listed())
             p.controller.onConfiguration(configuration())
@@ -123,6 +158,8 @@
         while (left > 0) {
             clock.advance(ReplicaTiming.TICK_MILLIS)
             left -= ReplicaTiming.TICK_MILLIS
+            engines.tick()
+            if (clock.monotonicMillis() % SPREAD_MILLIS == 0L) spread()
             processes.toList().forEach { it.tick() }
             if (clock.monotonicMillis() % REPORT_MILLIS == 0L) report()
             check()
@@ -130,15 +167,36 @@
     }
 
     /** The table as the store holds it. */
-    fun table() =
-        (store.client().get(Keys.assignment(DC)) as ReadResult.Success).entries.firstOrNull()?.let {
-            TableCodec.table(it.value)
-        }
+    fun table(): AssignmentTable = tables.lastOrNull()?.table ?: AssignmentTable(DC)
+
+    /** The process that the store says is in control, if it runs. */
+    fun controller(): FakeProcess? = processes.find { it.member.process == table().controller && it.isRunning }
+
+    /** Asks for [instance] to be drained. */
+    fun drain(instance: InstanceId) =
+        writeDrains(drains + DrainRequest(instance, stop = false, operator = "op", at = "2026-01-01T00:00:00Z"))
+
+    /** Takes all drain requests back. */
+    fun undrain() = writeDrains(emptyList())
+
+    private fun writeDrains(requests: List<DrainRequest>) {
+        drains = requests
+        val client = store.client()
+        val revision = (client.get(Keys.DRAINS) as ReadResult.Success).entries.firstOrNull()?.revision ?: ABSENT
+        client.compareAndSwap(Keys.DRAINS, revision, Json.encodeToString(DrainList(drains)).encodeToByteArray())
+    }
 
+    /** The news goes from the process that all agree on to all that run. */
     private fun report() {
         val now = clock.monotonicMillis()
-        val up = processes.filter { it.isRunning && !it.isPaused }
-        val source = up.map { it.controller.loadReport() }.find { it.controller } ?: return
+        val up = processes.filter { it.isUp }
+        val reporter =
+            up
+                .mapNotNull { it.controller.reporter() }
+                .groupingBy { it }
+                .eachCount()
+                .maxByOrNull { it.value }
+        val source = up.find { it.member.process == reporter?.key }?.controller?.loadReport() ?: return
         up.forEach { it.fleet.onLoad(source, now) }
     }
 
@@ -147,5 +205,6 @@
 
     private companion object {
         const val REPORT_MILLIS = 1_000L
+        const val SPREAD_MILLIS = 2_000L
     }
 }
