--- a/ledger/src/main/kotlin/auburnhall/ledger/LedgerOwner.kt
+++ b/ledger/src/main/kotlin/auburnhall/ledger/LedgerOwner.kt
@@ -6,8 +6,8 @@
 import auburnhall.core.ProcessId
 import auburnhall.membership.Membership
 
-/** Passes calls to their shard and answers each within [LedgerTimes.OWNER_BUDGET_MILLIS]. */
-internal class LedgerOwner(
+/** Passes calls to their shard and answers each within 1.5 s, without blocking the calling thread. */
+class LedgerOwner(
     private val context: LedgerContext,
     private val membership: Membership,
 ) {
