Bound how long a replica may take to begin an answer

Cause: the engine client waits up to 60 s for the head of an answer, so a paused engine that still accepts connections held a request past its deadline. The call now carries the time by which the engine must have begun. Also: token counts of resumed answers, one name for the token limit, and the entry process takes the explanation log by its factory's name.

--- a/engine/src/main/kotlin/auburnhall/engine/EngineClient.kt
+++ b/engine/src/main/kotlin/auburnhall/engine/EngineClient.kt
@@ -21,6 +21,7 @@
  * @property priority 0 is served first, by engines that honour priorities.
  * @property resumeText text already delivered, which the engine continues without repeating it; null to begin.
  * @property resumeTokens number of generated tokens in [resumeText].
+ * @property openBy when the engine must have begun to answer; the client's own limit applies as well.
  */
 data class ChatCall(
     val requestId: RequestId,
@@ -30,6 +31,7 @@
     val priority: Int = 0,
     val resumeText: String? = null,
     val resumeTokens: Int = 0,
+    val openBy: Deadline = Deadline(Long.MAX_VALUE),
 )
 
 /** What came of opening a chat completion. */
--- a/engine/src/main/kotlin/auburnhall/engine/RealEngineClient.kt
+++ b/engine/src/main/kotlin/auburnhall/engine/RealEngineClient.kt
@@ -61,7 +61,7 @@
                 .body(StringRequestContent("application/json", body))
         stream.request = request
         request.send(stream.listener)
-        return stream.awaitHeaders(clock.monotonicMillis() + timeouts.headersMillis)
+        return stream.awaitHeaders(minOf(clock.monotonicMillis() + timeouts.headersMillis, call.openBy.atMillis))
     }
 
     override fun status(address: String): StatusResult {
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -12,7 +12,7 @@
 import auburnhall.core.deadlineIn
 import auburnhall.engine.EngineClient
 import auburnhall.engine.InstanceList
-import auburnhall.explain.ExplanationLog
+import auburnhall.explain.PeerExplanationLog
 import auburnhall.gateway.Gateway
 import auburnhall.gateway.GatewayParts
 import auburnhall.gateway.GatewaySettings
@@ -85,7 +85,7 @@
             ),
         )
     private val explanations =
-        ExplanationLog(self.process, control.membership, GrpcExplanationPeers(channels), loop, clock)
+        PeerExplanationLog(self.process, control.membership, GrpcExplanationPeers(channels), loop, clock)
     private val inProgress = RequestsInProgress()
 
     @Volatile
--- a/gateway/src/main/kotlin/auburnhall/gateway/AnswerSession.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AnswerSession.kt
@@ -120,7 +120,9 @@
     ): AnswerEvent {
         if (!slot.end(attempt, TicketOutcome.COMPLETED)) return progress.callerGone()
         progress.onFinished(attempt)
-        return AnswerEvent.Finished(event.finishReason, event.promptTokens, progress.tokens)
+        val generated = if (event.generatedTokens > 0) event.generatedTokens else attempt.tokens
+        val prompt = (event.promptTokens - attempt.tokensBefore).coerceAtLeast(0)
+        return AnswerEvent.Finished(event.finishReason, prompt, attempt.tokensBefore + generated)
     }
 
     private fun onSilent(attempt: Attempt): AnswerEvent? {
--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -13,12 +13,14 @@
  * A request running at a replica.
  *
  * @property nextBy when the next event is due.
+ * @property tokensBefore tokens delivered by earlier attempts.
  * @property tokens tokens that came of this attempt.
  */
 internal class Attempt(
     val ticket: AdmissionTicket,
     val stream: ChatStream,
     var nextBy: Deadline,
+    val tokensBefore: Int = 0,
     var tokens: Int = 0,
 ) {
     /** The instance that the attempt talks to. */
--- a/gateway/src/main/kotlin/auburnhall/gateway/AttemptOpener.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AttemptOpener.kt
@@ -61,7 +61,7 @@
         result: ChatResult.Streaming,
     ): AnswerEvent? {
         progress.mayHaveRun = true
-        val attempt = Attempt(ticket, result.stream, times.beginBy(clock.monotonicMillis()))
+        val attempt = Attempt(ticket, result.stream, times.beginBy(clock.monotonicMillis()), progress.tokens)
         return if (slot.install(attempt)) null else progress.callerGone()
     }
 
@@ -117,10 +117,16 @@
 
     private fun chatCall(ticket: AdmissionTicket): ChatCall {
         val replica = ticket.replica.replica
-        val resumeText = progress.text.ifEmpty { null }
-        val priority = order.caller.plan.priority
-        val body = order.chat.body
-        return ChatCall(requestId, body, replica.id, replica.generation, priority, resumeText, progress.tokens)
+        return ChatCall(
+            requestId,
+            order.chat.body,
+            replica.id,
+            replica.generation,
+            order.caller.plan.priority,
+            progress.text.ifEmpty { null },
+            progress.tokens,
+            times.beginBy(clock.monotonicMillis()),
+        )
     }
 
     private companion object {
--- a/gateway/src/main/kotlin/auburnhall/gateway/ChatRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ChatRequest.kt
@@ -52,7 +52,7 @@
 private fun chatRequest(body: JsonObject): ChatRequest {
     val options = body["stream_options"] as? JsonObject
     return ChatRequest(
-        body,
+        withOneLimit(body),
         text(body["model"]).orEmpty(),
         flag(body["stream"]),
         maxTokens(body),
@@ -61,6 +61,12 @@
     )
 }
 
+/** Names the limit `max_tokens` only, which is what is lowered when an answer is resumed. */
+private fun withOneLimit(body: JsonObject): JsonObject {
+    val limit = maxTokens(body) ?: return body
+    return JsonObject(body - "max_completion_tokens" + ("max_tokens" to JsonPrimitive(limit)))
+}
+
 private fun parseObject(bytes: ByteArray): JsonObject? {
     val text = decode(bytes).getOr(null) ?: return null
     return try {
--- a/gateway/src/main/kotlin/auburnhall/gateway/RequestTrail.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/RequestTrail.kt
@@ -117,5 +117,9 @@
     private fun sentence(
         reason: Reason,
         error: StepError,
-    ) = "${reason.words} (${error.peer}: ${error.message})"
+    ) = "${reason.words} (${error.peer}: ${error.message})".take(DETAIL_CHARS)
+
+    private companion object {
+        const val DETAIL_CHARS = 500
+    }
 }
