Mend the share of a replica's places and the accounts of customers that return

Cause: Deadline.PASSED.remainingMillis overflows, so every replica that had answered once counted as returning slowly and a revived one drew all requests; an account that was forgotten lived on in the model's queue without loans, so its customer met the concurrency bound for ever; short resumed answers spoilt the estimate of a token's time, and nothing corrected it since every request was refused; the first borrower took all spare concurrency.

--- a/limits/src/main/kotlin/auburnhall/limits/AdmissionQueue.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/AdmissionQueue.kt
@@ -151,6 +151,7 @@
     /** Lets what is no longer needed go. */
     fun forget(nowMillis: Long) {
         accounts.values.removeIf { it.isIdle(nowMillis) }
+        models.values.forEach { it.forget(accounts.keys) }
         models.values.removeIf { it.size == 0 && it.inProgress == 0 }
         router.retain(inputs.fleet())
     }
@@ -217,12 +218,17 @@
 ) {
     internal fun forRouting(heldMillis: Long): RequestEnd =
         when (outcome) {
-            TicketOutcome.COMPLETED -> RequestEnd.Answered(tokens * MILLIS_PER_SECOND / heldMillis.coerceAtLeast(1))
+            TicketOutcome.COMPLETED -> RequestEnd.Answered(speed(heldMillis))
             TicketOutcome.CANCELLED -> RequestEnd.Cancelled
             TicketOutcome.REPLICA_FAILED -> RequestEnd.Failed
         }
 
+    /** Tokens a second; 0 when there were too few to tell the speed from the time of the prompt. */
+    private fun speed(heldMillis: Long): Double =
+        if (tokens < LEAST_TOKENS) 0.0 else tokens * MILLIS_PER_SECOND / heldMillis.coerceAtLeast(1)
+
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
+        const val LEAST_TOKENS = 50
     }
 }
--- a/limits/src/main/kotlin/auburnhall/limits/ArrivalCheck.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/ArrivalCheck.kt
@@ -11,7 +11,7 @@
     private val settings: AdmissionSettings,
     private val inputs: AdmissionInputs,
 ) {
-    /** Prepares [request] for [model]'s queue. */
+    /** Prepares [request] for [model]'s queue. It may start now, if there is a free place, whatever the estimates say. */
     fun prepare(
         request: AdmissionRequest,
         account: CustomerShares,
@@ -21,8 +21,9 @@
         val hold = model.pace.holdMillis(account.expectedTokens(request.maxTokens))
         val firstToken = request.firstTokenBy.atMillis - model.pace.firstTokenMillis.toLong()
         val answer = request.answerBy.atMillis
-        val latest = if (request.resumes) answer else minOf(firstToken, answer - hold)
-        return WaitingRequest(request, nowMillis, latest, minOf(nowMillis + settings.shareWaitMillis, answer), account)
+        val latest = if (request.resumes || !settings.refuseEarly) answer else minOf(firstToken, answer - hold)
+        val shareBy = minOf(nowMillis + settings.shareWaitMillis, answer)
+        return WaitingRequest(request, nowMillis, maxOf(latest, nowMillis), shareBy, account)
     }
 
     /** Returns why [request] is refused at once, when [waiting] requests wait here already; null when it is not. */
--- a/limits/src/main/kotlin/auburnhall/limits/LimitsController.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/LimitsController.kt
@@ -10,14 +10,23 @@
 import auburnhall.membership.Member
 import auburnhall.membership.MembershipView
 
-internal class LimitsController(
-    private val admission: RealAdmission,
+/** Gives the control thread access to the queue, which traffic threads use as well. */
+interface QueueAccess {
+    /** Runs [block] on the queue and decides again what has become decidable. */
+    fun <T> locked(block: (AdmissionQueue) -> T): T
+}
+
+/** Borrows for the customers that are active at the queue behind [admission]. Used on the control thread only. */
+class LimitsController(
+    private val admission: QueueAccess,
+    /** Lends for the customers that this process owns. */
     val owner: ShareOwner,
     private val ports: LimitsPorts,
 ) {
     private val schedule = BorrowSchedule()
     private val busy = HashSet<Member>()
 
+    /** Begins to borrow. */
     fun start() {
         ports.control.every(TICK_MILLIS) { tick() }
         ports.control.every(FORGET_MILLIS) { admission.locked { it.forget(ports.clock.monotonicMillis()) } }
--- a/limits/src/main/kotlin/auburnhall/limits/ModelQueue.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/ModelQueue.kt
@@ -11,11 +11,12 @@
 internal class ModelQueue(
     val name: String,
 ) {
-    private class CustomerQueue(
-        val shares: CustomerShares,
-    ) {
+    private class CustomerQueue {
         val waiting = TreeSet(ORDER)
         var finishTag = 0.0
+
+        /** The account of the first request; only of a queue that is not empty. */
+        val shares: CustomerShares get() = waiting.first().waiting.shares
     }
 
     private class Numbered(
@@ -45,7 +46,7 @@
         if (waiting.request.resumes) {
             resumed += n
         } else {
-            customers.getOrPut(waiting.request.customer) { CustomerQueue(waiting.shares) }.waiting += n
+            customers.getOrPut(waiting.request.customer) { CustomerQueue() }.waiting += n
         }
     }
 
@@ -105,6 +106,11 @@
             }
         }
 
+    /** Forgets customers without requests other than [known]. */
+    fun forget(known: Set<CustomerId>) {
+        customers.entries.removeIf { (id, queue) -> queue.waiting.isEmpty() && id !in known }
+    }
+
     /** Estimates how long [waiting] would wait with [places] places for this process. */
     fun waitMillis(
         waiting: WaitingRequest,
--- a/limits/src/main/kotlin/auburnhall/limits/Pace.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/Pace.kt
@@ -6,7 +6,8 @@
 /** Smoothed times of the requests of one model. Not thread-safe. */
 internal class Pace {
     private var heldMillis = 0.0
-    private var millisPerToken = 0.0
+    private var completeMillis = 0.0
+    private var completeTokens = 0.0
 
     /** Mean time from start to first token, in milliseconds; 0 before the first. */
     var firstTokenMillis = 0.0
@@ -23,11 +24,13 @@
         complete: Boolean,
     ) {
         heldMillis = smooth(heldMillis, millis.toDouble())
-        if (complete && tokens > 0) millisPerToken = smooth(millisPerToken, millis.toDouble() / tokens)
+        if (!complete) return
+        completeMillis = smooth(completeMillis, millis.toDouble())
+        completeTokens = smooth(completeTokens, tokens.toDouble())
     }
 
     /** Expected time for an answer of [tokens], in milliseconds; 0 when nothing was seen yet. */
-    fun holdMillis(tokens: Double): Long = (tokens * millisPerToken).toLong()
+    fun holdMillis(tokens: Double): Long = (tokens * completeMillis / completeTokens.coerceAtLeast(1.0)).toLong()
 
     /** Expected time until [turns] of [places] places have become free, in milliseconds. */
     fun millisFor(
--- a/limits/src/main/kotlin/auburnhall/limits/RealAdmission.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/RealAdmission.kt
@@ -22,7 +22,8 @@
     private val budget: RetryBudget,
     private val clock: Clock,
     private val listener: AdmissionListener,
-) : Admission {
+) : Admission,
+    QueueAccess {
     private val lock = ReentrantLock()
 
     /** Called, without the lock, when a request waits for a share of its customer's limits. */
@@ -47,8 +48,7 @@
         }
     }
 
-    /** Runs [block] on the queue and decides again what has become decidable. */
-    fun <T> locked(block: (AdmissionQueue) -> T): T =
+    override fun <T> locked(block: (AdmissionQueue) -> T): T =
         lock.withLock {
             val result = block(queue)
             queue.dispatch(clock.monotonicMillis())
--- a/limits/src/main/kotlin/auburnhall/limits/ShareOwner.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/ShareOwner.kt
@@ -58,7 +58,7 @@
             if (p == null || view.ownerOf(d.customer).process != view.self.process) {
                 null
             } else {
-                account(d.customer, p, now).lend(borrower, d, LendingTerms(p, part, now))
+                account(d.customer, p, now).lend(borrower, d, LendingTerms(p, part, view.active.size, now))
             }
         }
     }
@@ -81,8 +81,7 @@
         now: Long,
     ): LendingAccount =
         accounts.getOrPut(customer) {
-            val settled = activeSince.atMillis + VALID_MILLIS <= now
-            LendingAccount(plan, now, settled)
+            LendingAccount(plan, now, Deadline(activeSince.atMillis + VALID_MILLIS))
         }
 
     internal companion object {
@@ -92,18 +91,19 @@
     }
 }
 
-/** Under which terms a loan is given: the plan, the part of it that may be lent, and the time. */
+/** Under which terms a loan is given: the plan, the part of it that may be lent, to how many, and the time. */
 internal data class LendingTerms(
     val plan: Plan,
     val part: Double,
+    val active: Int,
     val nowMillis: Long,
 )
 
-/** What one customer's owner has lent and has left to lend. */
+/** What one customer's owner has lent and has left to lend. Before [settledAt] another process's loans may still hold. */
 internal class LendingAccount(
     plan: Plan,
     nowMillis: Long,
-    settled: Boolean,
+    private val settledAt: Deadline,
 ) {
     private class Loan(
         val concurrent: Int,
@@ -112,9 +112,8 @@
     )
 
     private val loans = HashMap<ProcessId, Loan>()
-    private var requests = if (settled) burst(plan.requestsPerSecond) else 0.0
-    private var tokens = if (settled) burst(plan.tokensPerSecond) else 0.0
-    private val settledAt = if (settled) Deadline.PASSED else Deadline(nowMillis + RealShareOwner.VALID_MILLIS)
+    private var requests = if (settledAt.hasPassed(nowMillis)) burst(plan.requestsPerSecond) else 0.0
+    private var tokens = if (settledAt.hasPassed(nowMillis)) burst(plan.tokensPerSecond) else 0.0
     private var filledAt = nowMillis
 
     fun idleSince(nowMillis: Long): Long = nowMillis - filledAt
@@ -167,10 +166,10 @@
         val limit = floor(terms.plan.concurrentRequests * terms.part).toInt()
         val takenByOthers = loans.values.sumOf { maxOf(it.concurrent, it.demand.inProgress) }
         val left = (limit - takenByOthers).coerceAtLeast(0)
-        if (!settledAt.hasPassed(terms.nowMillis)) return minOf(left, demand.inProgress)
+        if (!settledAt.hasPassed(terms.nowMillis)) return minOf(left, maxOf(demand.inProgress, limit / terms.active))
         val demands = loans.values.map { it.demand.concurrent } + demand.concurrent
         val level = waterLevel(demands, limit)
-        val spare = (limit - demands.sum()).coerceAtLeast(0) / demands.size
+        val spare = (limit - demands.sum()).coerceAtLeast(0) / maxOf(terms.active, demands.size)
         return minOf(left, minOf(demand.concurrent, level) + spare)
     }
 
--- a/routing/src/main/kotlin/auburnhall/routing/ReplicaHealth.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/ReplicaHealth.kt
@@ -57,9 +57,9 @@
         replica: ReplicaId,
         nowMillis: Long,
     ): Double {
-        val left = entries[replica]?.wholeAgainAt?.remainingMillis(nowMillis) ?: 0
-        if (left == 0L) return 1.0
-        return (1.0 - left.toDouble() / RETURN_MILLIS).coerceIn(LEAST_SHARE, 1.0)
+        val whole = entries[replica]?.wholeAgainAt ?: Deadline.PASSED
+        if (whole.hasPassed(nowMillis)) return 1.0
+        return (1.0 - whole.remainingMillis(nowMillis).toDouble() / RETURN_MILLIS).coerceIn(LEAST_SHARE, 1.0)
     }
 
     /** Generation speed of one request in tokens a second, as seen lately; 0 when nothing was seen. */
--- a/routing/src/main/kotlin/auburnhall/routing/ReplicaScorer.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/ReplicaScorer.kt
@@ -12,22 +12,24 @@
  *
  * @property own requests of this process there.
  * @property load estimated requests of all processes there.
- * @property places requests that may be there at once, after a replica's slow return is taken off.
+ * @property places requests that it runs at once, less what a slow return takes off.
+ * @property queuePlaces requests that may wait inside the replica.
  * @property cachedShare part of the prompt's hashed prefix that the replica says it caches, 0 to 1.
  * @property local whether it is in this process's data centre.
- * @property slowness median speed of all candidates over the speed of this one; 1 when either is not known.
+ * @property slowness median speed of all candidates over the speed of this one, when it is much slower; 1 otherwise.
  */
 data class Candidate(
     val status: ReplicaStatus,
     val own: Int,
     val load: Int,
     val places: Int,
+    val queuePlaces: Int,
     val cachedShare: Double,
     val local: Boolean,
     val slowness: Double,
 ) {
-    /** Places left. */
-    val room: Int get() = places - load
+    /** Requests that may still be sent there. */
+    val room: Int get() = places + queuePlaces - load
 }
 
 /** Chooses one of several replicas. */
--- a/routing/src/main/kotlin/auburnhall/routing/Router.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Router.kt
@@ -189,16 +189,16 @@
         medianSpeed: Double,
     ): Candidate {
         val id = status.replica.id
-        val places = status.capacity + ceil(status.capacity * settings.engineQueueShare).toInt()
         val speed = speed(status)
         return Candidate(
             status = status,
             own = work.own(id),
             load = work.load(status),
-            places = ceil(places * health.share(id, nowMillis)).toInt(),
+            places = ceil(status.capacity * health.share(id, nowMillis)).toInt(),
+            queuePlaces = ceil(status.capacity * settings.engineQueueShare).toInt(),
             cachedShare = cachedShare(status, request.prefixes),
             local = status.dataCentre == dataCentre,
-            slowness = if (speed > 0 && medianSpeed > 0) medianSpeed / speed else 1.0,
+            slowness = if (speed > 0 && medianSpeed > speed * STRAGGLER_FACTOR) medianSpeed / speed else 1.0,
         )
     }
 
@@ -220,4 +220,8 @@
         val longest = prefixes.indexOfLast { it in status.prefixes }
         return (longest + 1.0) / prefixes.size
     }
+
+    private companion object {
+        const val STRAGGLER_FACTOR = 1.5
+    }
 }
