Test segments and take-over, and close segments at 16 KB

Rolling, take-over of many segments, expiry and carrying unresolved calls forward were not tested. The earlier owner is now also asked between the take-over and the new owner's first commit.

Bytes: a commit rewrites its segment, so written bytes grow with the segment size.

--- a/ledger/src/main/kotlin/auburnhall/ledger/LedgerTimes.kt
+++ b/ledger/src/main/kotlin/auburnhall/ledger/LedgerTimes.kt
@@ -49,7 +49,7 @@
     const val SHARDS = 32
 
     /** A segment of at least this size is closed and the next commit begins another. */
-    const val SEGMENT_BYTES = 64 * 1024
+    const val SEGMENT_BYTES = 16 * 1024
 
     /** Most bytes of new records in one commit. */
     const val BATCH_BYTES = 256 * 1024
--- a/ledger/src/test/kotlin/auburnhall/ledger/AtMostOnceMatrixTest.kt
+++ b/ledger/src/test/kotlin/auburnhall/ledger/AtMostOnceMatrixTest.kt
@@ -3,6 +3,8 @@
  */
 package auburnhall.ledger
 
+import auburnhall.core.RequestId
+import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.DynamicTest
 import org.junit.jupiter.api.Test
@@ -46,19 +48,10 @@
 
         private fun ranks(key: String) =
             world
-                .membershipOf(member())
+                .membershipOf(LedgerWorld.member("p0"))
                 .view()
                 .ranked(rankingKey(shardOf(intentKey(key))))
                 .map { it.process }
-
-        private fun member() =
-            auburnhall.membership.Member(
-                world.processes[0].id,
-                auburnhall.core.InstanceId("p0"),
-                auburnhall.core.DataCentreId("dc1"),
-                "127.0.0.1:1",
-                "127.0.0.1:2",
-            )
     }
 
     @TestFactory
@@ -162,6 +155,19 @@
         scene.world.history.check("after the outage")
     }
 
+    @Test
+    fun `the earlier owner grants nothing once the shard was taken over, even before the new owner commits anything`() {
+        val scene = Scene()
+        warmUp(scene, LedgerStep.TAKE_OVER)
+        scene.world.order(scene.requester, scene.warmUpKey)
+        assertTrue(scene.world.history.lastTold is Told.Answered)
+        val request = IntentRequest(LedgerWorld.CUSTOMER, scene.key, "body", RequestId("late"))
+        var reply: ReserveReply? = null
+        scene.owner.owner.reserve(request, scene.owner.id) { reply = it }
+        scene.world.advance(SETTLE_MILLIS)
+        assertEquals(ReserveReply.NotOwner, reply)
+    }
+
     private companion object {
         const val PROCESSES = 3
         const val SEED = 7
--- a/ledger/src/test/kotlin/auburnhall/ledger/LedgerWorld.kt
+++ b/ledger/src/test/kotlin/auburnhall/ledger/LedgerWorld.kt
@@ -131,10 +131,10 @@
         processes.forEach { if (!it.isDead) it.loop.runDue() }
     }
 
-    private fun member(name: String) =
-        Member(ProcessId(name), InstanceId(name), DataCentreId("dc1"), "127.0.0.1:1", "127.0.0.1:2")
-
     companion object {
+        fun member(name: String) =
+            Member(ProcessId(name), InstanceId(name), DataCentreId("dc1"), "127.0.0.1:1", "127.0.0.1:2")
+
         val CUSTOMER = CustomerId("customer")
         const val STEP_MILLIS = 50L
         const val DETECTION_MILLIS = 3_000L
