--- a/gateway/src/main/kotlin/auburnhall/gateway/ChatRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ChatRequest.kt
@@ -42,6 +42,8 @@
     val message: String,
 )
 
+private const val MAX_DEPTH = 100
+
 /** Reads [bytes] as a [ChatRequest]. */
 internal fun parseChatRequest(bytes: ByteArray): Result<ChatRequest, FieldError> {
     val body = parseObject(bytes) ?: return Err(FieldError(null, "The body is not a JSON object in UTF-8."))
@@ -68,7 +70,8 @@
 }
 
 private fun parseObject(bytes: ByteArray): JsonObject? {
-    val text = decode(bytes).getOr(null) ?: return null
+    val text = decode(bytes).getOr(null)
+    if (text == null || isTooDeep(text)) return null
     return try {
         Json.parseToJsonElement(text) as? JsonObject
     } catch (_: SerializationException) {
@@ -88,6 +91,25 @@
         Err(Unit)
     }
 
+/** Whether objects and lists are nested so deeply that reading them would exhaust a thread's stack. */
+private fun isTooDeep(text: String): Boolean {
+    var depth = 0
+    var quoted = false
+    var escaped = false
+    for (c in text) {
+        when {
+            escaped -> escaped = false
+            c == '\\' -> escaped = quoted
+            c == '"' -> quoted = !quoted
+            quoted -> Unit
+            c == '{' || c == '[' -> depth += 1
+            c == '}' || c == ']' -> depth -= 1
+        }
+        if (depth > MAX_DEPTH) return true
+    }
+    return false
+}
+
 /** The prompt as far as prefixes are concerned: roles and texts in order. */
 private fun promptOf(messages: JsonArray): String =
     buildString {
