Lose the calls that copy explanation records, and see them sent again

The test of that name passed without the mechanism, since its peers were not counted as answering. It is split: one loses calls to peers that answer, the other has no peer answering.

--- a/explain/src/test/kotlin/auburnhall/explain/ExplanationLogTest.kt
+++ b/explain/src/test/kotlin/auburnhall/explain/ExplanationLogTest.kt
@@ -37,6 +37,7 @@
                 m.process to PeerExplanationLog(m.process, membership(m), this, loop, clock)
             }
         var keeps = 0
+        var lostKeeps = 0
 
         init {
             logs.values.forEach { it.start() }
@@ -57,7 +58,7 @@
             records: List<Explanation>,
         ): KeepResult {
             keeps += 1
-            if (member.process in gone) return KeepResult.Error("gone")
+            if (member.process in gone || keeps <= lostKeeps) return KeepResult.Error("lost by the test")
             records.forEach { logs.getValue(member.process).store.keep(it) }
             return KeepResult.Success
         }
@@ -116,6 +117,17 @@
 
     @Test
     fun `a batch that did not arrive is sent again`() {
+        for (lost in 1..5) {
+            val c = Cluster()
+            c.lostKeeps = lost
+            c.log(0).record(explanation(ids[0]))
+            c.loop.advance(5_000)
+            assertEquals(3, c.holders(ids[0]).size, "$lost calls lost")
+        }
+    }
+
+    @Test
+    fun `a record made while no other process answers is copied once others do`() {
         val c = Cluster(3)
         c.gone += listOf(ProcessId("p1"), ProcessId("p2"))
         c.log(0).record(explanation(ids[0]))
