--- a/config/src/test/kotlin/auburnhall/config/ConfigFleet.kt
+++ b/config/src/test/kotlin/auburnhall/config/ConfigFleet.kt
@@ -17,6 +17,8 @@
 import auburnhall.membership.MembershipDependencies
 import auburnhall.membership.MembershipPeers
 import auburnhall.store.ControlFeed
+import auburnhall.store.Keys
+import auburnhall.store.ReadResult
 import auburnhall.test.FakeClock
 import auburnhall.test.FakeControlLoop
 import auburnhall.test.FakeKeyValueStore
@@ -33,6 +35,7 @@
     val nodes = ArrayList<Node>()
     val history = ConfigHistory(this)
     var storeDown = false
+    private val observer = store.client()
 
     /** Called after every step of the clock. */
     var onStep: () -> Unit = {}
@@ -45,6 +48,13 @@
         repeat((millis / STEP_MILLIS).toInt()) { step() }
     }
 
+    /** Removes the registration of [node], which is dead, as others do once its instance is listed no more. */
+    fun unregister(node: Node) {
+        val key = Keys.member(node.self.process)
+        val entry = (observer.get(key) as ReadResult.Success).entries.firstOrNull() ?: return
+        observer.compareAndDelete(key, entry.revision)
+    }
+
     private fun step() {
         clock.advance(STEP_MILLIS)
         nodes.toList().filter { !it.isPaused && !it.isDead }.forEach { it.loop.runDue() }
@@ -62,6 +72,7 @@
         val loop = FakeControlLoop(clock)
         var isPaused = false
         var isDead = false
+        var isApplying = false
         var isCutFromStore = false
         var isCutFromPeers = false
 
--- a/config/src/test/kotlin/auburnhall/config/ConfigHistory.kt
+++ b/config/src/test/kotlin/auburnhall/config/ConfigHistory.kt
@@ -23,8 +23,11 @@
     var acceptedCount = 0
         private set
 
-    /** The highest version ever accepted. */
-    val acceptedVersion: Long get() = accepted
+    /** The version that the store holds; 0 before the first. */
+    fun storedVersion(): Long {
+        checkStore()
+        return stored
+    }
 
     /** Notes what the operator of [changeId] was told. */
     fun told(
