--- a/core/src/main/kotlin/auburnhall/core/Assignment.kt
+++ b/core/src/main/kotlin/auburnhall/core/Assignment.kt
@@ -24,8 +24,8 @@
  *
  * @property members at least one instance; the first leads and receives the requests.
  * @property generation fencing number carried by every order; higher than that of any earlier replica of the table.
- * @property incarnations run of each member's engine when the replica was formed, in the order of [members]. A member of
- *   another run has lost what it held, whatever it says.
+ * @property incarnations run of each member's engine when the replica was formed, in the order of [members]. A member
+ *   of another run has lost what it held, whatever it says.
  */
 @Serializable
 data class Replica(
