Send the next status request as soon as one is answered

Cause: requests left only with a tick, at most 64 each, so a data centre was polled at most 256 times a second: at 830 engines each was asked every 3.2 s, close to the 4 s of the presence bound.

--- a/replica/src/main/kotlin/auburnhall/replica/EnginePoller.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/EnginePoller.kt
@@ -34,6 +34,9 @@
     }
 
     private val targets = LinkedHashMap<InstanceId, Target>()
+    private val queue = ArrayDeque<InstanceId>()
+    private var inFlight = 0
+    private var silentInFlight = 0
 
     /** Polls exactly the engines of [addresses] from now on; new ones get a place of their own in the second. */
     fun aim(addresses: Map<InstanceId, String>) {
@@ -45,36 +48,47 @@
         }
     }
 
-    /** Sends the requests that are due. */
+    /** Queues what is due, silent engines last, and sends as many requests as may be under way at once. */
     fun tick() {
         val now = clock.monotonicMillis()
-        val due = targets.filterValues { !it.inFlight && it.dueAt <= now }
-        var free = MAX_IN_FLIGHT - targets.values.count { it.inFlight }
-        var freeForSilent = MAX_SILENT_IN_FLIGHT - targets.values.count { it.inFlight && it.isSilent }
-        val order = due.entries.sortedWith(compareBy({ it.value.isSilent }, { it.value.dueAt }))
-        for ((id, target) in order) {
-            val allowed = free > 0 && (!target.isSilent || freeForSilent > 0)
-            if (!allowed) break
-            free -= 1
-            if (target.isSilent) freeForSilent -= 1
-            ask(id, target, now)
+        val order = compareBy<Map.Entry<InstanceId, Target>>({ it.value.isSilent }, { it.value.dueAt })
+        queue.clear()
+        queue +=
+            targets.entries
+                .filter { !it.value.inFlight && it.value.dueAt <= now }
+                .sortedWith(order)
+                .map { it.key }
+        sendQueued()
+    }
+
+    private fun sendQueued() {
+        while (queue.isNotEmpty() && inFlight < MAX_IN_FLIGHT) {
+            val target = targets[queue.first()]
+            if (target?.isSilent == true && silentInFlight >= MAX_SILENT_IN_FLIGHT) return
+            val id = queue.removeFirst()
+            if (target != null) ask(id, target)
         }
     }
 
     private fun ask(
         id: InstanceId,
         target: Target,
-        now: Long,
     ) {
+        val silent = target.isSilent
         target.inFlight = true
-        target.dueAt = maxOf(target.dueAt + ReplicaTiming.POLL_PERIOD_MILLIS, now + MIN_GAP_MILLIS)
+        inFlight += 1
+        if (silent) silentInFlight += 1
+        target.dueAt = maxOf(target.dueAt + ReplicaTiming.POLL_PERIOD_MILLIS, clock.monotonicMillis() + MIN_GAP_MILLIS)
         val address = target.address
         loop.call(
             io = {
                 val sentAt = clock.monotonicMillis()
                 PollAnswer(id, sentAt, engines.status(address))
             },
-            onResult = { onResult(target, it) },
+            onResult = {
+                if (silent) silentInFlight -= 1
+                onResult(target, it)
+            },
         )
     }
 
@@ -83,11 +97,13 @@
         answer: PollAnswer,
     ) {
         target.inFlight = false
+        inFlight -= 1
         when (answer.result) {
             is StatusResult.Success -> target.failures = 0
             is StatusResult.Error -> onFailure(target)
         }
         onAnswer(answer)
+        sendQueued()
     }
 
     private fun onFailure(target: Target) {
