--- a/limits/src/main/kotlin/auburnhall/limits/ArrivalCheck.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/ArrivalCheck.kt
@@ -11,7 +11,7 @@
     private val settings: AdmissionSettings,
     private val inputs: AdmissionInputs,
 ) {
-    /** Prepares [request] for [model]'s queue. It may start now, if there is a free place, whatever the estimates say. */
+    /** Prepares [request] for [model]'s queue. A free place may be taken now, whatever the estimates say. */
     fun prepare(
         request: AdmissionRequest,
         account: CustomerShares,
--- a/limits/src/main/kotlin/auburnhall/limits/ShareOwner.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/ShareOwner.kt
@@ -99,7 +99,7 @@
     val nowMillis: Long,
 )
 
-/** What one customer's owner has lent and has left to lend. Before [settledAt] another process's loans may still hold. */
+/** What one customer's owner has lent and may lend. Before [settledAt] another process's loans may still hold. */
 internal class LendingAccount(
     plan: Plan,
     nowMillis: Long,
