Keep processes from filling the same places out of one report

Cause: every process saw the same few free places in a report and filled them all, so requests queued inside replicas, where no deadline is kept; beyond that a customer that waited for places was refused by its limits as soon as a loan was late by some milliseconds. Now a process goes beyond its equal part of the places only while reports show more than a twentieth free, nothing is queued inside replicas on purpose, and a limit refuses only after the owner has had time to lend.

--- a/bench/src/main/kotlin/auburnhall/bench/admission/AdmissionBench.kt
+++ b/bench/src/main/kotlin/auburnhall/bench/admission/AdmissionBench.kt
@@ -97,7 +97,8 @@
             "idle while waiting %",
             "refusals (last seed)",
         )
-    private val SEEDS = listOf(1L, 2L, 3L)
+    private val SEEDS = (1L..RUNS).toList()
+    private const val RUNS = 3L
     private const val USUAL = 0.7
     private const val FULL = 1.0
     private const val OVERLOAD = 2.0
--- a/bench/src/main/kotlin/auburnhall/bench/limits/LimitsBench.kt
+++ b/bench/src/main/kotlin/auburnhall/bench/limits/LimitsBench.kt
@@ -52,12 +52,12 @@
 object LimitsBench {
     private val scenarios =
         listOf(
-            Scenario("asks 90% of its plan everywhere", 0.9, 20),
-            Scenario("asks 90% of its plan at 2 processes", 0.9, 2),
-            Scenario("asks twice its plan everywhere", 2.0, 20),
-            Scenario("asks twice its plan at 2 processes", 2.0, 2),
-            Scenario("asks twice its plan, 5 processes cut off for 30 s", 2.0, 20, cut = 5),
-            Scenario("asks twice its plan, owner dies", 2.0, 20, ownerDies = true),
+            Scenario("asks 90% of its plan everywhere", WITHIN, EVERYWHERE),
+            Scenario("asks 90% of its plan at 2 processes", WITHIN, FEW),
+            Scenario("asks twice its plan everywhere", BEYOND, EVERYWHERE),
+            Scenario("asks twice its plan at 2 processes", BEYOND, FEW),
+            Scenario("asks twice its plan, 5 processes cut off for 30 s", BEYOND, EVERYWHERE, cut = CUT),
+            Scenario("asks twice its plan, owner dies", BEYOND, EVERYWHERE, ownerDies = true),
         )
 
     /** Runs all scenarios and writes their tables to [out]. */
@@ -87,7 +87,13 @@
 
     private val HEAD =
         listOf("kept by", "admitted of min(asked, plan) %", "most in 10 s, % of plan", "during the fault %", "calls/s")
-    private val SEEDS = listOf(1L, 2L, 3L)
+    private val SEEDS = (1L..RUNS).toList()
+    private const val WITHIN = 0.9
+    private const val BEYOND = 2.0
+    private const val EVERYWHERE = 20
+    private const val FEW = 2
+    private const val CUT = 5
+    private const val RUNS = 3L
     private const val PERCENT = 100.0
 }
 
@@ -106,11 +112,11 @@
     seed: Long,
 ) {
     private val time = VirtualTime()
-    private val spec = ClusterSpec(replicas = 3, engine = EngineSpec(10_000, 1_000.0, 1_000.0, 10))
+    private val spec = ClusterSpec(replicas = FEW_REPLICAS, engine = EngineSpec(ROOM, SPEED, SPEED, 1))
     private val cluster = Cluster(spec, time, seed)
     private val random = Random(seed)
     private val members = List(spec.processes) { member(it) }
-    private val plan = Plan("plan", RATE, RATE * TOKENS * 2, CONCURRENT, 1, 0, 1_000, 30_000)
+    private val plan = Plan("plan", RATE, RATE * TOKENS * 2, CONCURRENT, 1, 0, FIRST_TOKEN_MILLIS, ANSWER_MILLIS)
     private val team = Team(CustomerId("team"), plan, 1.0, listOf(Prompt(listOf(1), 1.0)))
     private val owners = HashMap<ProcessId, ShareOwner>()
     private val admittedAt = ArrayList<Double>()
@@ -215,6 +221,11 @@
     ): Set<ProcessId> = members.map { it.process }.filterTo(HashSet()) { (it in lost) == (self in lost) }
 
     private companion object {
+        const val FEW_REPLICAS = 3
+        const val ROOM = 10_000
+        const val SPEED = 1_000.0
+        const val FIRST_TOKEN_MILLIS = 1_000L
+        const val ANSWER_MILLIS = 30_000L
         const val RATE = 40.0
         const val TOKENS = 20
         const val CONCURRENT = 400
--- a/bench/src/main/kotlin/auburnhall/bench/load/Cluster.kt
+++ b/bench/src/main/kotlin/auburnhall/bench/load/Cluster.kt
@@ -11,14 +11,23 @@
 
 /** How many replicas and entry processes there are, and how late their reports come. */
 data class ClusterSpec(
-    val replicas: Int = 16,
-    val processes: Int = 20,
-    val engine: EngineSpec = EngineSpec(32, 40.0, 17.5, 12),
+    val replicas: Int = REPLICAS,
+    val processes: Int = PROCESSES,
+    val engine: EngineSpec = EngineSpec(CAPACITY, ALONE_SPEED, FULL_SPEED, CACHED_PROMPTS),
     val reportEveryMillis: Double = 1_000.0,
     val reportLagMillis: Double = 300.0,
 ) {
     /** Answers of [meanTokens] that all replicas together can give in a second. */
     fun answersPerSecond(meanTokens: Double) = replicas * engine.fullRate / meanTokens
+
+    private companion object {
+        const val REPLICAS = 16
+        const val PROCESSES = 20
+        const val CAPACITY = 32
+        const val ALONE_SPEED = 40.0
+        const val FULL_SPEED = 17.5
+        const val CACHED_PROMPTS = 12
+    }
 }
 
 /** What befalls the replicas during a run. */
--- a/bench/src/main/kotlin/auburnhall/bench/load/EntryProcess.kt
+++ b/bench/src/main/kotlin/auburnhall/bench/load/EntryProcess.kt
@@ -86,14 +86,10 @@
             }
             waiting.onDecided = { time.after(0.0) { decided(waiting) } }
             locked { }
-            if (waiting.verdict == null) wakeUp(waiting)
-            if (queue.isShort) onShort()
-        }
-
-        private fun wakeUp(waiting: WaitingRequest) {
             listOf(waiting.shareBy, waiting.latestStart).forEach { t ->
                 time.at(t + 1) { if (waiting.verdict == null) locked { } }
             }
+            if (queue.isShort) onShort()
         }
 
         private fun admissionRequest() =
--- a/bench/src/main/kotlin/auburnhall/bench/load/FakeEngine.kt
+++ b/bench/src/main/kotlin/auburnhall/bench/load/FakeEngine.kt
@@ -14,7 +14,7 @@
 import java.util.PriorityQueue
 import kotlin.random.Random
 
-/** How fast a replica is. [aloneSpeed] and [fullSpeed] are tokens a second of one request, alone and in a full batch. */
+/** How fast a replica is: tokens a second of one request alone, [aloneSpeed], and in a full batch, [fullSpeed]. */
 data class EngineSpec(
     val capacity: Int,
     val aloneSpeed: Double,
@@ -23,6 +23,12 @@
 ) {
     /** Tokens a second of a full batch. */
     val fullRate: Double get() = fullSpeed * capacity
+
+    /** Tokens a second of one request in a batch of [batch]. */
+    fun speed(batch: Int): Double {
+        val slope = (aloneSpeed / fullSpeed - 1) / (capacity - 1)
+        return aloneSpeed / (1 + slope * (batch - 1).coerceAtLeast(0))
+    }
 }
 
 /** One request at a replica. [prefillTokens] is the time of the prompt, in tokens of generation. */
@@ -39,6 +45,9 @@
     internal var isRunning = false
     internal var hasToken = false
     internal var isOver = false
+
+    /** What the job reaches next: its first token or its end. */
+    internal val nextMark get() = if (hasToken) endMark else firstMark
 }
 
 /** A prompt: hashes of its prefixes and the tokens of generation that its prefill takes when nothing is cached. */
@@ -47,6 +56,34 @@
     val prefillTokens: Double,
 )
 
+/** The prompts that a replica has cached, oldest first. */
+private class PromptCache(
+    private val most: Int,
+) {
+    private val prompts = LinkedHashMap<Int, Prompt>()
+
+    fun prefill(prompt: Prompt) = prompt.prefillTokens * if (prompt.prefixes.last() in prompts) CACHED_PREFILL else 1.0
+
+    fun add(prompt: Prompt) {
+        prompts.remove(prompt.prefixes.last())
+        prompts[prompt.prefixes.last()] = prompt
+        if (prompts.size > most) prompts.remove(prompts.keys.first())
+    }
+
+    fun clear() = prompts.clear()
+
+    fun report(random: Random) =
+        prompts.values
+            .filter { random.nextDouble() > CACHE_GAP }
+            .flatMap { it.prefixes }
+            .toHashSet()
+
+    private companion object {
+        const val CACHE_GAP = 0.1
+        const val CACHED_PREFILL = 0.2
+    }
+}
+
 /** A replica of one model. */
 class FakeEngine(
     val id: ReplicaId,
@@ -54,10 +91,10 @@
     private val spec: EngineSpec,
     private val time: VirtualTime,
 ) {
-    private val marks = PriorityQueue(compareBy<EngineJob> { if (it.hasToken) it.endMark else it.firstMark })
+    private val marks = PriorityQueue(compareBy<EngineJob> { it.nextMark })
     private val running = LinkedHashSet<EngineJob>()
     private val queued = ArrayDeque<EngineJob>()
-    private val cache = LinkedHashMap<Int, Prompt>()
+    private val cache = PromptCache(spec.cachedPrompts)
     private var mark = 0.0
     private var markedAt = 0L
     private var schedule = 0L
@@ -70,6 +107,8 @@
             reschedule()
         }
 
+    private val speed get() = pace * spec.speed(running.size)
+
     /** Whether the replica answers. */
     var isAlive = true
         private set
@@ -80,16 +119,6 @@
     /** Places free; 0 when dead. */
     val free: Int get() = if (isAlive) (spec.capacity - running.size).coerceAtLeast(0) else 0
 
-    /** Tokens that the requests here still have to generate. */
-    val remaining: Double
-        get() {
-            advance()
-            return running.sumOf { it.endMark - mark } + queued.sumOf { it.tokens.toDouble() }
-        }
-
-    /** Whether the whole of [prompt] is cached. */
-    fun caches(prompt: Prompt) = prompt.prefixes.last() in cache
-
     fun submit(job: EngineJob) {
         if (!isAlive) {
             job.isOver = true
@@ -131,7 +160,6 @@
         replica: Replica = Replica(id, MODEL, "1", listOf(InstanceId("$id-0")), 1, ReplicaState.SERVING),
     ): ReplicaStatus {
         advance()
-        val known = cache.values.filter { random.nextDouble() > CACHE_GAP }.flatMap { it.prefixes }
         return ReplicaStatus(
             replica,
             dataCentre,
@@ -141,18 +169,13 @@
             running.size,
             queued.size,
             time.monotonicMillis(),
-            speed().toInt().coerceAtLeast(1),
-            known.toHashSet(),
+            speed.toInt().coerceAtLeast(1),
+            cache.report(random),
         )
     }
 
-    private fun speed(): Double {
-        val slope = (spec.aloneSpeed / spec.fullSpeed - 1) / (spec.capacity - 1)
-        return pace * spec.aloneSpeed / (1 + slope * (running.size - 1).coerceAtLeast(0))
-    }
-
     private fun advance() {
-        mark += (time.micros - markedAt) / MICROS_PER_SECOND * speed()
+        mark += (time.micros - markedAt) / MICROS_PER_SECOND * speed
         markedAt = time.micros
     }
 
@@ -168,7 +191,7 @@
                 } else {
                     job.prompt.prefillTokens
                 }
-            remember(job.prompt)
+            cache.add(job.prompt)
             job.startMark = mark
             job.firstMark = mark + prefill + 1
             job.endMark = mark + prefill + job.tokens
@@ -178,12 +201,6 @@
         }
     }
 
-    private fun remember(prompt: Prompt) {
-        cache.remove(prompt.prefixes.last())
-        cache[prompt.prefixes.last()] = prompt
-        if (cache.size > spec.cachedPrompts) cache.remove(cache.keys.first())
-    }
-
     private fun remove(job: EngineJob) {
         job.isOver = true
         if (job.isRunning) {
@@ -198,27 +215,20 @@
         schedule += 1
         val next = marks.peek() ?: return
         val expected = schedule
-        val due = if (next.hasToken) next.endMark else next.firstMark
-        val millis = (due - mark).coerceAtLeast(0.0) / speed() * MILLIS_PER_SECOND + ROUNDING_MILLIS
+        val millis = (next.nextMark - mark).coerceAtLeast(0.0) / speed * MILLIS_PER_SECOND + ROUNDING_MILLIS
         time.after(millis) { if (expected == schedule) reachMarks() }
     }
 
     private fun reachMarks() {
         advance()
         val calls = ArrayList<() -> Unit>()
-        while (true) {
-            val job = marks.peek() ?: break
-            if ((if (job.hasToken) job.endMark else job.firstMark) > mark) break
-            marks.poll()
-            if (job.hasToken || job.tokens <= 1) {
-                marks += job
-                remove(job)
-                calls += job.onEnd
-            } else {
-                job.hasToken = true
-                marks += job
-                calls += job.onFirstToken
-            }
+        while (marks.isNotEmpty() && marks.peek().nextMark <= mark) {
+            val job = marks.poll()
+            val isEnd = job.hasToken || job.tokens <= 1
+            job.hasToken = true
+            marks += job
+            if (isEnd) remove(job)
+            calls += if (isEnd) job.onEnd else job.onFirstToken
         }
         admit()
         reschedule()
@@ -229,8 +239,6 @@
         /** The one model of the measurements. */
         const val MODEL = "assistant"
         private const val PRESENCE_MILLIS = 3_000L
-        private const val CACHE_GAP = 0.1
-        private const val CACHED_PREFILL = 0.2
         private const val MICROS_PER_SECOND = 1_000_000.0
         private const val MILLIS_PER_SECOND = 1_000.0
         private const val ROUNDING_MILLIS = 0.002
--- a/bench/src/main/kotlin/auburnhall/bench/retries/RetriesBench.kt
+++ b/bench/src/main/kotlin/auburnhall/bench/retries/RetriesBench.kt
@@ -23,7 +23,7 @@
                 val budget = RetryBudget(clock)
                 RetryRule { if (budget.tryRetry()) 0.0 else null } to { budget.onSuccess() }
             },
-            Policies("three at once") { RetryRule { attempts -> if (attempts <= 3) 0.0 else null } to {} },
+            Policies("three at once") { RetryRule { attempts -> if (attempts <= MOST_ATTEMPTS) 0.0 else null } to {} },
             Policies("none") { RetryRule { null } to {} },
         )
 
@@ -51,13 +51,16 @@
             of { PERCENT * it.count(Ending.GOOD) / it.offered }.text(),
             of { PERCENT * it.count(Ending.FAILED) / it.offered }.text(2),
             of { PERCENT * it.count(Ending.LATE) / it.offered }.text(2),
-            of { it.attempts.toDouble() / (it.offered - it.count(Ending.REFUSED)) }.text(3),
+            of { it.attempts.toDouble() / (it.offered - it.count(Ending.REFUSED)) }.text(DIGITS),
             of { it.answerMillis(P99) }.text(0),
         )
     }
 
     private val HEAD = listOf("policy", "in time %", "failed %", "late %", "attempts per admitted", "answer p99 ms")
-    private val SEEDS = listOf(1L, 2L, 3L)
+    private val SEEDS = (1L..RUNS).toList()
+    private const val RUNS = 3L
+    private const val MOST_ATTEMPTS = 3
+    private const val DIGITS = 3
     private const val USUAL = 0.7
     private const val FULL = 1.0
     private const val OVERLOAD = 2.0
--- a/bench/src/main/kotlin/auburnhall/bench/routing/RoutingBench.kt
+++ b/bench/src/main/kotlin/auburnhall/bench/routing/RoutingBench.kt
@@ -136,7 +136,8 @@
     }
 
     private val HEAD = listOf("policy", "in time %", "first token p50 ms", "p95 ms", "p99 ms", "answer p95 ms")
-    private val SEEDS = listOf(1L, 2L, 3L, 4L, 5L)
+    private val SEEDS = (1L..RUNS).toList()
+    private const val RUNS = 5L
     private const val QUIET = 0.3
     private const val USUAL = 0.7
     private const val FULL = 1.0
--- a/limits/src/main/kotlin/auburnhall/limits/AdmissionQueue.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/AdmissionQueue.kt
@@ -166,11 +166,12 @@
         model.overdue(nowMillis).forEach { refuse(it, late, model) }
         if (model.size == 0) return
         val fair = check.fairPlaces(model.name, fleet)
-        var full = false
+        var full = model.inProgress >= fair && !check.hasSpare(model.name, fleet)
         while (!full) {
             val next = model.next(nowMillis) ?: break
             val extra = if (model.inProgress < fair) EXTRA_PER_REPLICA else 0
             full = !place(next, model, router.choose(fleet, next.route, nowMillis, extra), nowMillis)
+            if (model.inProgress >= fair && !check.hasSpare(model.name, fleet)) full = true
         }
         model.beyondLimits(nowMillis).forEach { (w, reason) -> refuse(w, reason, model) }
     }
@@ -204,7 +205,7 @@
     }
 
     private companion object {
-        const val EXTRA_PER_REPLICA = 2
+        const val EXTRA_PER_REPLICA = 1
         const val RETRY_AFTER_SECONDS = 1L
         const val TOO_MANY = auburnhall.core.HttpStatus.TOO_MANY_REQUESTS
         const val UNAVAILABLE = auburnhall.core.HttpStatus.UNAVAILABLE
--- a/limits/src/main/kotlin/auburnhall/limits/ArrivalCheck.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/ArrivalCheck.kt
@@ -46,6 +46,19 @@
         return places.toDouble() / inputs.activeProcesses().coerceAtLeast(1)
     }
 
+    /**
+     * Tells whether reports show so many free places of [model] that a process may go beyond its equal part. Without
+     * this bound all processes would fill the same few places before the next report.
+     */
+    fun hasSpare(
+        model: String,
+        fleet: FleetView,
+    ): Boolean {
+        val replicas = fleet.replicas.filter { it.replica.model == model }
+        val free = replicas.sumOf { (it.capacity - it.running - it.queued).coerceAtLeast(0) }
+        return free > replicas.sumOf { it.capacity } * SPARE_SHARE
+    }
+
     private fun isTooLate(
         request: WaitingRequest,
         model: ModelQueue,
@@ -55,4 +68,8 @@
         val places = maxOf(fairPlaces(model.name, inputs.fleet()), model.inProgress.toDouble())
         return nowMillis + model.waitMillis(request, places) > request.latestStart
     }
+
+    private companion object {
+        const val SPARE_SHARE = 0.05
+    }
 }
--- a/limits/src/main/kotlin/auburnhall/limits/CustomerShares.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/CustomerShares.kt
@@ -30,6 +30,8 @@
 
     private val arrivals = ArrivalRate()
     private var meanTokens = 0.0
+    private var lastExpected = 1.0
+    private var shortSince = Long.MAX_VALUE
 
     fun onArrival(nowMillis: Long) = arrivals.onArrival(nowMillis)
 
@@ -72,8 +74,18 @@
     }
 
     /** Expected tokens of an answer of at most [maxTokens]. */
-    fun expectedTokens(maxTokens: Int): Double =
-        if (meanTokens == 0.0) maxTokens / 2.0 else minOf(meanTokens, maxTokens.toDouble())
+    fun expectedTokens(maxTokens: Int): Double {
+        lastExpected = if (meanTokens == 0.0) maxTokens / 2.0 else minOf(meanTokens, maxTokens.toDouble())
+        return lastExpected
+    }
+
+    /** The bound in the way of a waiting request, once the owner has had time to lend and did not; null otherwise. */
+    fun exceeded(nowMillis: Long): Reason? {
+        val obstacle = obstacle(nowMillis)
+        isShort = isShort || obstacle != null
+        shortSince = if (obstacle == null) Long.MAX_VALUE else minOf(shortSince, nowMillis)
+        return obstacle.takeIf { nowMillis - GRACE_MILLIS >= shortSince }
+    }
 
     /** What to ask the owner for, to last for [periodMillis]. */
     fun demand(
@@ -82,7 +94,7 @@
     ): ShareDemand {
         loans.refresh(plan, nowMillis)
         val ahead = arrivals.perSecond(nowMillis) * periodMillis / MILLIS_PER_SECOND + waiting
-        val tokensAhead = ahead * maxOf(meanTokens, 1.0) + loans.tokenDebt
+        val tokensAhead = ahead * lastExpected + loans.tokenDebt
         val busy = inProgress + waiting
         return ShareDemand(
             customer,
@@ -100,6 +112,7 @@
 
     private companion object {
         const val MILLIS_PER_SECOND = 1_000.0
+        const val GRACE_MILLIS = 200L
         const val IDLE_MILLIS = 30_000L
         const val SMOOTHING = 0.05
     }
--- a/limits/src/main/kotlin/auburnhall/limits/ModelQueue.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/ModelQueue.kt
@@ -97,12 +97,11 @@
     /** Requests that waited as long as they may for a share of their customer's limits, with the bound in the way. */
     fun beyondLimits(nowMillis: Long): List<Pair<WaitingRequest, Reason>> =
         customers.values.filter { it.waiting.isNotEmpty() }.flatMap { queue ->
-            val obstacle = queue.shares.obstacle(nowMillis)
-            if (obstacle == null) {
+            val bound = queue.shares.exceeded(nowMillis)
+            if (bound == null) {
                 emptyList()
             } else {
-                queue.shares.isShort = true
-                queue.waiting.filter { it.waiting.shareBy <= nowMillis }.map { it.waiting to obstacle }
+                queue.waiting.filter { it.waiting.shareBy <= nowMillis }.map { it.waiting to bound }
             }
         }
 
--- a/routing/src/main/kotlin/auburnhall/routing/Router.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Router.kt
@@ -32,7 +32,7 @@
         const val REMOTE_COST = 0.02
         const val CACHE_GAIN = 0.25
         const val REPORT_LAG_MILLIS = 250L
-        const val ENGINE_QUEUE_SHARE = 0.1
+        const val ENGINE_QUEUE_SHARE = 0.0
     }
 }
 
