--- a/bench/src/main/kotlin/auburnhall/bench/admission/AdmissionBench.kt
+++ b/bench/src/main/kotlin/auburnhall/bench/admission/AdmissionBench.kt
@@ -25,7 +25,6 @@
     private val policies =
         listOf(
             Policies("weighted queue, early refusal") { retries to {} },
-            Policies("the same, no queue inside replicas", RoutingSettings(engineQueueShare = 0.0)) { retries to {} },
             Policies(
                 "first come, no refusal",
                 RoutingSettings(engineQueueShare = NO_BOUND),
--- a/bench/src/main/kotlin/auburnhall/bench/load/FakeEngine.kt
+++ b/bench/src/main/kotlin/auburnhall/bench/load/FakeEngine.kt
@@ -182,15 +182,7 @@
     private fun admit() {
         while (running.size < spec.capacity && queued.isNotEmpty()) {
             val job = queued.removeFirst()
-            val prefill =
-                if (caches(
-                        job.prompt,
-                    )
-                ) {
-                    job.prompt.prefillTokens * CACHED_PREFILL
-                } else {
-                    job.prompt.prefillTokens
-                }
+            val prefill = cache.prefill(job.prompt)
             cache.add(job.prompt)
             job.startMark = mark
             job.firstMark = mark + prefill + 1
--- a/limits/src/main/kotlin/auburnhall/limits/AdmissionQueue.kt
+++ b/limits/src/main/kotlin/auburnhall/limits/AdmissionQueue.kt
@@ -169,8 +169,7 @@
         var full = model.inProgress >= fair && !check.hasSpare(model.name, fleet)
         while (!full) {
             val next = model.next(nowMillis) ?: break
-            val extra = if (model.inProgress < fair) EXTRA_PER_REPLICA else 0
-            full = !place(next, model, router.choose(fleet, next.route, nowMillis, extra), nowMillis)
+            full = !place(next, model, router.choose(fleet, next.route, nowMillis), nowMillis)
             if (model.inProgress >= fair && !check.hasSpare(model.name, fleet)) full = true
         }
         model.beyondLimits(nowMillis).forEach { (w, reason) -> refuse(w, reason, model) }
@@ -205,7 +204,6 @@
     }
 
     private companion object {
-        const val EXTRA_PER_REPLICA = 1
         const val RETRY_AFTER_SECONDS = 1L
         const val TOO_MANY = auburnhall.core.HttpStatus.TOO_MANY_REQUESTS
         const val UNAVAILABLE = auburnhall.core.HttpStatus.UNAVAILABLE
