--- a/config/src/test/kotlin/auburnhall/config/RandomHistory.kt
+++ b/config/src/test/kotlin/auburnhall/config/RandomHistory.kt
@@ -49,11 +49,27 @@
         if (eventsLeft == 0) return heal()
         eventsLeft -= 1
         val node = alive.random(random)
-        when (random.nextInt(EVENT_KINDS)) {
+        val kind = random.nextInt(EVENT_KINDS)
+        if (kind < CUT_KINDS) cut(kind, node) else disturb(kind, node)
+    }
+
+    private fun cut(
+        kind: Int,
+        node: ConfigFleet.Node,
+    ) {
+        when (kind) {
             0 -> node.isPaused = note("pause", node, !node.isPaused)
             1 -> node.isCutFromStore = note("cut from store", node, !node.isCutFromStore)
             2 -> node.isCutFromPeers = note("cut from peers", node, !node.isCutFromPeers)
-            3 -> fleet.storeDown = note("store down", node, !fleet.storeDown)
+            else -> fleet.storeDown = note("store down", node, !fleet.storeDown)
+        }
+    }
+
+    private fun disturb(
+        kind: Int,
+        node: ConfigFleet.Node,
+    ) {
+        when (kind) {
             4 -> node.client.holdEvents = note("hold events", node, true)
             5 -> node.client.releaseEvents()
             6 -> node.delayMillis = note("delay", node, random.nextLong(MAX_DELAY_MILLIS))
@@ -129,6 +145,9 @@
     private companion object {
         const val MAX_NODES = 6
         const val EVENTS = 60
+
+        /** Kinds below this cut something off or pause it. */
+        const val CUT_KINDS = 4
         const val EVENT_KINDS = 14
         const val STEPS_PER_EVENT = 20
         const val MAX_APPLYING = 2
--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -90,6 +90,7 @@
                 ports.clock,
                 membership::view,
                 tables::report,
+                tables::reporter,
             ) { load, madeAt ->
                 fleet.onLoad(load, madeAt)
                 onFleetChanged()
--- a/entry/src/main/kotlin/auburnhall/entry/TableControllers.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TableControllers.kt
@@ -17,7 +17,7 @@
 import auburnhall.store.ControlFeedListener
 import auburnhall.store.StoreEntry
 
-/** A control-thread object, but for [report]. */
+/** A control-thread object, but for [report] and [reporter]. */
 internal class TableControllers(
     private val self: ProcessId,
     private val environment: ReplicaEnvironment,
@@ -36,6 +36,9 @@
     /** What this process knows of the engines of [dataCentre]; any thread. */
     fun report(dataCentre: DataCentreId): DataCentreLoad? = controllers[dataCentre]?.loadReport()
 
+    /** The process that polls the engines of [dataCentre]; any thread. */
+    fun reporter(dataCentre: DataCentreId): ProcessId? = controllers[dataCentre]?.reporter()
+
     fun tick() = each { it.tick() }
 
     fun onStopping() {
--- a/peer/src/main/kotlin/auburnhall/peer/LoadNews.kt
+++ b/peer/src/main/kotlin/auburnhall/peer/LoadNews.kt
@@ -7,6 +7,7 @@
 import auburnhall.core.Clock
 import auburnhall.core.ControlLoop
 import auburnhall.core.DataCentreId
+import auburnhall.core.ProcessId
 import auburnhall.core.Step
 import auburnhall.core.every
 import auburnhall.membership.Member
@@ -23,6 +24,8 @@
     val membership: () -> MembershipView,
     /** The report made here, when this process polls the engines of the data centre. */
     val ownReport: (DataCentreId) -> DataCentreLoad?,
+    /** The process that polls the engines of the data centre; null when none is known. */
+    val reporter: (DataCentreId) -> ProcessId?,
     val onLoad: (DataCentreLoad, madeAtMillis: Long) -> Unit,
 )
 
@@ -59,7 +62,7 @@
 
     private fun refresh(dataCentre: DataCentreId) {
         val own = ports.ownReport(dataCentre)
-        val parent = parent(ports.membership(), dataCentre)
+        val parent = parent(ports.membership(), dataCentre, ports.reporter(dataCentre))
         if (own != null && (own.controller || parent == null)) {
             take(own, own.asOfMillis)
         } else if (parent != null && asking.add(dataCentre)) {
@@ -106,16 +109,17 @@
 internal const val LOAD_FANOUT = 6
 
 /**
- * The process to ask for the news of [dataCentre], null for the root. Processes of the data centre come first in the
- * tree, in their order of responsibility for its table.
+ * The process to ask for the news of [dataCentre], null for the root. The root is [reporter] if it is active; processes
+ * of the data centre follow it, in their order of responsibility for its table.
  */
 internal fun parent(
     view: MembershipView,
     dataCentre: DataCentreId,
+    reporter: ProcessId?,
 ): Member? {
     val ranked = view.ranked("table/${dataCentre.value}")
     val (near, far) = ranked.partition { it.dataCentre == dataCentre }
-    val order = near + far
+    val order = (near + far).sortedByDescending { it.process == reporter }
     val index = order.indexOfFirst { it.process == view.self.process }
     return if (index <= 0) null else order[(index - 1) / LOAD_FANOUT]
 }
