Bring the peer, entry and stand-in modules within the linter's rules

Cause: they were written before the linter ran over them. Conclusion: files and classes split by what they convert or check; no behaviour changed.

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -1,6 +1,6 @@
 /*
- * All control state of an entry process, driven on its control thread: membership, configuration, assignment tables, load
- * news and the view of the fleet that requests are routed by.
+ * All control state of an entry process, driven on its control thread: membership, configuration, assignment tables,
+ * load news and the view of the fleet that requests are routed by.
  */
 package auburnhall.entry
 
@@ -101,7 +101,7 @@
             ports.store,
             ports.loop,
             ports.random,
-            listOf(state, membership, config, tables, FleetFeed(fleet), LogFeed),
+            listOf(state, membership, config, tables.feed, FleetFeed(fleet), LogFeed),
         )
 
     /** Group downtime, stranded accelerators and the state of the fleet. */
--- a/entry/src/main/kotlin/auburnhall/entry/EntryOptions.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryOptions.kt
@@ -1,6 +1,6 @@
 /*
- * Flags of the entry process as args4j sees them. Each may also be given as an environment variable: AUBURNHALL_ and the
- * name of the flag in capitals with underscores. A flag goes before its variable.
+ * Flags of the entry process as args4j sees them. Each may also be given as an environment variable: AUBURNHALL_ and
+ * the name of the flag in capitals with underscores. A flag goes before its variable.
  */
 package auburnhall.entry
 
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -61,7 +61,7 @@
     private val store = EtcdKeyValueStore(EtcdSettings(settings.store), metrics)
     private val engines = EngineClient(clock)
     private val listen = settings.listen.withPorts()
-    private val self = member()
+    private val self = memberOf(settings, listen)
     private val control = ControlPlane(self, controlPorts())
     private val limits = Limits(limitsPorts())
     private val explanations =
@@ -75,8 +75,25 @@
 
     private val gateway = Gateway(gatewayParts())
     private val operators = operatorHandler()
-    private val peers = PeerServer(listen.address, listen.peerPort, PeerService(peerParts()))
-    private val server = HttpServer(serverSettings(), ::route)
+    private val peers =
+        PeerServer(
+            listen.address,
+            listen.peerPort,
+            PeerService(
+                PeerParts(
+                    membership = control.membership,
+                    config = control.config,
+                    shares = limits.shareOwner,
+                    explanations = explanations.store,
+                    loadNews = control.loadNews,
+                    ledger = shards,
+                ),
+            ),
+        )
+    private val server =
+        HttpServer(serverSettings(settings, listen)) { request ->
+            if (request.uri.path.startsWith(OPERATOR_PREFIX)) operators(request) else gateway(request)
+        }
 
     /** Address for callers and operators. */
     val callerAddress: String get() = self.callerAddress
@@ -137,18 +154,6 @@
         store.close()
     }
 
-    private fun route(request: org.http4k.core.Request) =
-        if (request.uri.path.startsWith(OPERATOR_PREFIX)) operators(request) else gateway(request)
-
-    private fun member() =
-        Member(
-            process = ProcessId("${settings.instance}-${UUID.randomUUID().toString().take(ID_CHARS)}"),
-            instance = settings.instance,
-            dataCentre = settings.dataCentre,
-            peerAddress = "${listen.address}:${listen.peerPort}",
-            callerAddress = "${listen.address}:${listen.port}",
-        )
-
     private fun controlPorts() =
         ControlPorts(
             clock = clock,
@@ -192,16 +197,6 @@
             settings = GatewaySettings(bodyBytes = settings.callers.maxBodyBytes),
         )
 
-    private fun peerParts() =
-        PeerParts(
-            membership = control.membership,
-            config = control.config,
-            shares = limits.shareOwner,
-            explanations = explanations.store,
-            loadNews = control.loadNews,
-            ledger = shards,
-        )
-
     private fun operatorHandler(): HttpHandler {
         val keys = OperatorKeys(settings.operators)
         return operatorRoutes(
@@ -219,15 +214,6 @@
         )
     }
 
-    private fun serverSettings() =
-        ServerSettings(
-            host = listen.address,
-            port = listen.port,
-            threads = settings.callers.threads,
-            idleTimeoutMillis = settings.callers.idleSeconds * MILLIS_PER_SECOND,
-            headerBytes = settings.callers.maxHeaderBytes,
-        )
-
     private fun versionInForce(): Long? =
         (control.config.current() as? ConfigView.InForce)?.index?.configuration?.version
 
@@ -237,8 +223,6 @@
     }
 
     private companion object {
-        const val ID_CHARS = 8
-        const val MILLIS_PER_SECOND = 1_000L
         const val OPERATOR_PREFIX = "/operator/"
     }
 }
@@ -247,3 +231,28 @@
 private fun ListenSettings.withPorts() = copy(port = orFree(port), peerPort = orFree(peerPort))
 
 private fun orFree(port: Int): Int = if (port != 0) port else ServerSocket(0).use { it.localPort }
+
+private fun memberOf(
+    settings: EntrySettings,
+    listen: ListenSettings,
+) = Member(
+    process = ProcessId("${settings.instance}-${UUID.randomUUID().toString().take(ID_CHARS)}"),
+    instance = settings.instance,
+    dataCentre = settings.dataCentre,
+    peerAddress = "${listen.address}:${listen.peerPort}",
+    callerAddress = "${listen.address}:${listen.port}",
+)
+
+private fun serverSettings(
+    settings: EntrySettings,
+    listen: ListenSettings,
+) = ServerSettings(
+    host = listen.address,
+    port = listen.port,
+    threads = settings.callers.threads,
+    idleTimeoutMillis = settings.callers.idleSeconds * MILLIS_PER_SECOND,
+    headerBytes = settings.callers.maxHeaderBytes,
+)
+
+private const val ID_CHARS = 8
+private const val MILLIS_PER_SECOND = 1_000L
--- a/entry/src/main/kotlin/auburnhall/entry/EntrySettings.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntrySettings.kt
@@ -6,7 +6,6 @@
 import auburnhall.core.DataCentreId
 import auburnhall.core.InstanceId
 import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.binding
 import org.kohsuke.args4j.CmdLineException
@@ -91,8 +90,6 @@
         .mapNotNull { flag -> environment[variable(flag)]?.let { listOf(flag, it) } }
         .flatten()
 
-private fun variable(flag: String) = "AUBURNHALL_" + flag.removePrefix("--").replace('-', '_').uppercase()
-
 private fun helpText(parser: CmdLineParser): String {
     val text = StringWriter()
     text.write("auburnhall: serves callers in front of model engines and plain services\n\n")
@@ -131,60 +128,7 @@
         )
     }
 
-private fun invalid(message: String) = Err(SettingsProblem.Invalid(message))
-
-private fun required(
-    flag: String,
-    value: String,
-): Result<String, SettingsProblem> =
-    if (value.isBlank()) invalid("$flag (or ${variable(flag)}) is required") else Ok(value)
-
-private fun number(
-    flag: String,
-    value: String,
-    range: IntRange,
-): Result<Int, SettingsProblem> {
-    val n = value.toIntOrNull()
-    return if (n == null || n !in range) {
-        invalid("$flag must be a whole number from ${range.first} to ${range.last}, not '$value'")
-    } else {
-        Ok(n)
-    }
-}
-
-private fun address(
-    flag: String,
-    value: String,
-): Result<String, SettingsProblem> {
-    val port = value.substringAfterLast(':', "").toIntOrNull()
-    val host = value.substringBeforeLast(':', "")
-    return when {
-        value.isBlank() -> invalid("$flag (or ${variable(flag)}) is required")
-        port == null || port !in 1..MAX_PORT || host.isEmpty() -> invalid("$flag must be IP:PORT, not '$value'")
-        else -> Ok(value)
-    }
-}
-
-private fun oneOf(
-    flag: String,
-    value: String,
-    choices: List<String>,
-): Result<String, SettingsProblem> =
-    if (value in choices) Ok(value) else invalid("$flag must be one of ${choices.joinToString()}, not '$value'")
-
-private fun operators(value: String): Result<List<Operator>, SettingsProblem> {
-    val entries = value.split(',').filter { it.isNotBlank() }
-    val wrong = entries.firstOrNull { !OPERATOR.matches(it.trim()) }
-    return if (wrong != null) {
-        invalid("--operators must list NAME=SHA256 with 64 hexadecimal digits, not '$wrong'")
-    } else {
-        Ok(entries.map { Operator(it.substringBefore('=').trim(), it.substringAfter('=').trim()) })
-    }
-}
-
-private val OPERATOR = Regex("[A-Za-z0-9._-]+=[0-9a-f]{64}")
 private val LOG_LEVELS = listOf("trace", "debug", "info", "warn", "error")
-private const val MAX_PORT = 65_535
 private const val MIN_BODY = 1_024
 private const val MAX_BODY = 64 * 1024 * 1024
 private const val MIN_HEADER = 1_024
--- a/entry/src/main/kotlin/auburnhall/entry/OperatorKeys.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/OperatorKeys.kt
@@ -12,9 +12,8 @@
 ) {
     /** The operator's name; null when the key is missing or belongs to nobody. */
     fun nameOf(request: Request): String? {
-        val header = request.header("Authorization") ?: return null
-        if (!header.startsWith(PREFIX)) return null
-        val digest = sha256(header.removePrefix(PREFIX).trim())
+        val key = request.header("Authorization")?.takeIf { it.startsWith(PREFIX) } ?: return null
+        val digest = sha256(key.removePrefix(PREFIX).trim())
         return operators.firstOrNull { MessageDigest.isEqual(it.keyDigest.toByteArray(), digest.toByteArray()) }?.name
     }
 
--- a/entry/src/main/kotlin/auburnhall/entry/TableControllers.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TableControllers.kt
@@ -23,13 +23,28 @@
     private val environment: ReplicaEnvironment,
     private val state: ControlState,
     private val listener: ReplicaEventListener,
-) : ControlFeedListener {
+) {
     @Volatile
     private var controllers = emptyMap<DataCentreId, TableController>()
     private var configuration: Configuration? = null
     private var view: MembershipView? = null
     private var stopping = false
 
+    /** Takes in the control keys. */
+    val feed: ControlFeedListener =
+        object : ControlFeedListener {
+            override fun onSnapshot(
+                entries: List<StoreEntry>,
+                storeRevision: Long,
+            ) = each { it.onSnapshot(entries) }
+
+            override fun onPut(entry: StoreEntry) = each { it.onPut(entry) }
+
+            override fun onDelete(key: String) = each { it.onDelete(key) }
+
+            override fun onLost(message: String) = Unit
+        }
+
     /** Data centres that have had engines since the start. */
     val dataCentres: Set<DataCentreId> get() = controllers.keys
 
@@ -64,17 +79,6 @@
         each { it.onInstanceList(instances) }
     }
 
-    override fun onSnapshot(
-        entries: List<StoreEntry>,
-        storeRevision: Long,
-    ) = each { it.onSnapshot(entries) }
-
-    override fun onPut(entry: StoreEntry) = each { it.onPut(entry) }
-
-    override fun onDelete(key: String) = each { it.onDelete(key) }
-
-    override fun onLost(message: String) = Unit
-
     private fun create(dataCentre: DataCentreId): TableController {
         val controller = TableController(dataCentre, self, environment, listener)
         if (state.isReady) controller.onSnapshot(state.entries())
--- a/peer/src/main/kotlin/auburnhall/peer/LoadNews.kt
+++ b/peer/src/main/kotlin/auburnhall/peer/LoadNews.kt
@@ -1,6 +1,7 @@
 /*
- * Load news of every data centre, passed on along a tree so that no process sends it to more than a few others. The root
- * is the process that polls the engines; every other process asks its parent and answers its children with what it has.
+ * Load news of every data centre, passed on along a tree so that no process sends it to more than a few others. The
+ * root is the process that polls the engines; every other process asks its parent and answers its children with what it
+ * has.
  */
 package auburnhall.peer
 
--- a/peer/src/main/kotlin/auburnhall/peer/PeerServer.kt
+++ b/peer/src/main/kotlin/auburnhall/peer/PeerServer.kt
@@ -19,7 +19,7 @@
     override fun close()
 }
 
-/** Starts a [PeerServer] for [service] at [host]:[port]; port 0 takes any. Throws IOException when the port is taken. */
+/** Starts a [PeerServer] for [service] at [host]:[port]; port 0 takes any. Throws IOException when it is taken. */
 fun PeerServer(
     host: String,
     port: Int,
--- a/process-test/src/test/kotlin/auburnhall/process/StreamedChat.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/StreamedChat.kt
@@ -61,15 +61,13 @@
     /** Whether the text is the whole reference answer, each token once and in order. */
     val isWhole: Boolean get() = isComplete && error == null && text.toString() == ReferenceAnswer.text(PROMPT, tokens)
 
-    /** Whether the text is a beginning of the reference answer. */
-    val isPrefix: Boolean get() = ReferenceAnswer.text(PROMPT, tokens).startsWith(text.toString())
-
     private fun read(
         entry: TestInstance,
         key: String,
     ) {
         val body =
-            """{"model":"assistant","stream":true,"max_tokens":$tokens,"messages":[{"role":"user","content":"Hello"}]}"""
+            """{"model":"assistant","stream":true,"max_tokens":$tokens,""" +
+                """"messages":[{"role":"user","content":"Hello"}]}"""
         val request =
             HttpRequest
                 .newBuilder(URI("http://${entry.address}/v1/chat/completions"))
--- a/standin/src/main/kotlin/auburnhall/standin/engine/EngineOptions.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/engine/EngineOptions.kt
@@ -32,20 +32,29 @@
     var ignoresFencing = false
 
     @Option(name = "--capacity", usage = "requests that a replica led by this instance runs at once")
-    var capacity = 8
+    var capacity = CAPACITY
 
     @Option(name = "--token-millis", usage = "milliseconds between two tokens of one answer")
-    var tokenMillis = 20L
+    var tokenMillis = TOKEN_MILLIS
 
     @Option(name = "--prefill-millis", usage = "milliseconds before the first token of a prompt that is not cached")
-    var prefillMillis = 20L
+    var prefillMillis = PREFILL_MILLIS
 
     @Option(name = "--report-lag-millis", usage = "age of the load figures in the status")
-    var reportLagMillis = 500L
+    var reportLagMillis = REPORT_LAG_MILLIS
 
     @Option(name = "--weight-bytes", usage = "bytes to load from the weight store for one replica member")
-    var weightBytes = 100_000L
+    var weightBytes = WEIGHT_BYTES
 
     @Option(name = "--cached-prefixes", usage = "prompt prefixes that fit into the cache")
-    var cachedPrefixes = 256
+    var cachedPrefixes = CACHED_PREFIXES
+
+    private companion object {
+        const val CAPACITY = 8
+        const val TOKEN_MILLIS = 20L
+        const val PREFILL_MILLIS = 20L
+        const val REPORT_LAG_MILLIS = 500L
+        const val WEIGHT_BYTES = 100_000L
+        const val CACHED_PREFIXES = 256
+    }
 }
--- a/standin/src/main/kotlin/auburnhall/standin/service/ServiceCommand.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/service/ServiceCommand.kt
@@ -1,6 +1,6 @@
 /*
- * A plain service that answers stock lookups and runs orders. It does not recognise a repeated order: whoever passes one
- * on twice runs it twice, and its history shows it.
+ * A plain service that answers stock lookups and runs orders. It does not recognise a repeated order: whoever passes
+ * one on twice runs it twice, and its history shows it.
  */
 package auburnhall.standin.service
 
