--- a/ctl/src/main/kotlin/auburnhall/ctl/FleetCommands.kt
+++ b/ctl/src/main/kotlin/auburnhall/ctl/FleetCommands.kt
@@ -99,7 +99,7 @@
                 "arrived ${e.arrivedAt} at ${e.process}, took ${e.tookMillis} ms, status ${e.status}, ${e.runState}"
         val events =
             e.events.map {
-                "  at ${it.atMillis} ms, ${it.step} at ${it.peer}: ${it.reason.words} ${it.detail}"
+                "  at ${it.atMillis} ms, ${it.step} at ${it.peer}: ${it.detail}"
             }
         return (listOf(head) + events).joinToString("\n")
     }
