Refuse unknown HTTP methods and challenge refused keys

Cause: a method that HTTP does not know threw in the server and was answered with status 500; a 401 without WWW-Authenticate is no answer to some clients, Jetty's among them. Before: JettyServerTest failed with 500 in place of 405.

--- a/gateway/src/main/kotlin/auburnhall/gateway/ReplyWriter.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ReplyWriter.kt
@@ -47,8 +47,10 @@
 
     private fun refusalReply(reply: Reply.Refused): Reply.Whole {
         val retry = reply.refusal.retryAfterSeconds?.let { HeaderField("Retry-After", it.toString()) }
+        val status = reply.refusal.reason.status
+        val challenge = if (status == HttpStatus.UNAUTHORIZED) HeaderField("WWW-Authenticate", "Bearer") else null
         val json = reply.refusal.toJson(trail.requestId, reply.param)
-        return Reply.Whole(reply.refusal.reason.status, JSON, json.toByteArray(), listOfNotNull(retry))
+        return Reply.Whole(status, JSON, json.toByteArray(), listOfNotNull(retry, challenge))
     }
 
     private fun whole(reply: Reply.Whole): Response {
--- a/gateway/src/test/kotlin/auburnhall/gateway/BadInputTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/BadInputTest.kt
@@ -85,6 +85,12 @@
         }
     }
 
+    @Test
+    fun `a refused key is challenged, as clients expect of status 401`() {
+        val response = Bench(Take.Fail).gateway(Request(Method.GET, "/v1/models"))
+        assertEquals("Bearer", response.header("WWW-Authenticate"))
+    }
+
     @Test
     fun `a body that is too large is refused, announced or not`() {
         val bench = Bench(Take.Fail)
--- a/http/src/main/kotlin/auburnhall/http/JettyServer.kt
+++ b/http/src/main/kotlin/auburnhall/http/JettyServer.kt
@@ -17,8 +17,10 @@
 import org.http4k.core.Method
 import org.http4k.core.Request
 import org.http4k.core.Response
+import org.http4k.core.Status
 import java.io.IOException
 import java.io.InputStream
+import java.io.OutputStream
 import org.eclipse.jetty.server.Request as JettyRequest
 import org.eclipse.jetty.server.Response as JettyResponse
 
@@ -94,8 +96,10 @@
         response: JettyResponse,
         callback: Callback,
     ): Boolean {
+        val method = METHODS[request.method]
         try {
-            send(handler(toHttp4k(request)), response)
+            val answer = if (method == null) Response(Status.METHOD_NOT_ALLOWED) else handler(toHttp4k(request, method))
+            send(answer, response)
             callback.succeeded()
         } catch (e: IOException) {
             callback.failed(e)
@@ -103,10 +107,13 @@
         return true
     }
 
-    private fun toHttp4k(request: JettyRequest): Request {
+    private fun toHttp4k(
+        request: JettyRequest,
+        method: Method,
+    ): Request {
         val uri = request.httpURI.pathQuery ?: "/"
         val headers = request.headers.map { it.name to it.value }
-        return Request(Method.valueOf(request.method), uri)
+        return Request(method, uri)
             .headers(headers)
             .body(Content.Source.asInputStream(request), request.length.takeIf { it >= 0 })
     }
@@ -125,7 +132,7 @@
     /** Copies and flushes after every read, so that a streamed answer reaches the caller piece by piece. */
     private fun copy(
         from: InputStream,
-        to: java.io.OutputStream,
+        to: OutputStream,
     ) {
         val buffer = ByteArray(COPY_BYTES)
         while (true) {
@@ -138,5 +145,6 @@
 
     private companion object {
         const val COPY_BYTES = 8 * 1024
+        val METHODS = Method.values().associateBy { it.name }
     }
 }
