Prove both majorities of the configuration under a partition

Cause: neither the majority at acceptance nor the one at extension had been seen to matter; random histories did not reach a partition with both sides alive. Ruled out: the first version of the test left the watch of the cut-off side open, so that it learned of the change; its events are held back now. Conclusion: a cut-off majority serves on and blocks acceptance; a cut-off minority stops within the bound and does not.

--- a/config/src/test/kotlin/auburnhall/config/ConfigFaultTest.kt
+++ b/config/src/test/kotlin/auburnhall/config/ConfigFaultTest.kt
@@ -39,6 +39,34 @@
         assertNull(fleet.nodes[2].served())
     }
 
+    @Test
+    fun `a majority cut off from the store serves on and no change is accepted against it`() {
+        startFleet(5)
+        cutOff(3)
+        assertEquals(listOf<Long?>(1, 1, 1), served().take(3))
+        assertInstanceOf(ApplyResult.Pending::class.java, apply(4, 1))
+        assertEquals(listOf<Long?>(1, 1, 1), served().take(3))
+    }
+
+    @Test
+    fun `a minority cut off from the store stops serving and a change is accepted without it`() {
+        startFleet(5)
+        cutOff(2)
+        assertEquals(listOf<Long?>(null, null), served().take(2))
+        assertInstanceOf(ApplyResult.Accepted::class.java, apply(4, 1))
+        assertEquals(listOf<Long?>(null, null, 2, 2, 2), served())
+    }
+
+    /** Puts the first [count] processes on a side of their own that does not reach the store. */
+    private fun cutOff(count: Int) {
+        fleet.nodes.take(count).forEach {
+            it.side = 1
+            it.isCutFromStore = true
+            it.client.holdEvents = true
+        }
+        fleet.advance(MINUTE_MILLIS)
+    }
+
     private fun startFleet(size: Int) {
         repeat(size) { fleet.start() }
         fleet.advance(SETTLE_MILLIS)
@@ -63,6 +91,7 @@
     private companion object {
         const val SEED = 4L
         const val SETTLE_MILLIS = 15_000L
+        const val MINUTE_MILLIS = 60_000L
         const val HOUR_MILLIS = 3_600_000L
     }
 }
--- a/config/src/test/kotlin/auburnhall/config/ConfigFleet.kt
+++ b/config/src/test/kotlin/auburnhall/config/ConfigFleet.kt
@@ -76,6 +76,9 @@
         var isCutFromStore = false
         var isCutFromPeers = false
 
+        /** Processes reach only those on the same side of a partition. */
+        var side = 0
+
         /** Most milliseconds that a call takes each way. */
         var delayMillis = 0L
         var storeFault: (StoreCall) -> StoreFault = { StoreFault.NONE }
@@ -117,7 +120,7 @@
 
         private fun reach(peer: Member): Node? =
             nodes.firstOrNull { it.self.peerAddress == peer.peerAddress }?.takeIf {
-                !it.isPaused && !it.isDead && !it.isCutFromPeers && !isCutFromPeers
+                !it.isPaused && !it.isDead && !it.isCutFromPeers && !isCutFromPeers && it.side == side
             }
 
         private fun unreachable(peer: Member) = StepError(Step.READ_CONFIGURATION, peer.peerAddress, "no answer")
