Let the demo find the busy replica whatever the order; say plainly that a connection broke

Cause: under pipefail the search for the busy engine failed the script whenever the engine asked last was idle: the demo ended silently before the kill. The explanation showed the HTTP client's own dump of its connection. Before: the demo on the jars of a clean clone ended at that step. Conclusion: no pipe into grep -q or head decides any more.

--- a/engine/src/main/kotlin/auburnhall/engine/ResponseLines.kt
+++ b/engine/src/main/kotlin/auburnhall/engine/ResponseLines.kt
@@ -27,7 +27,8 @@
         val failure: Throwable?,
     ) : ResponseItem {
         /** Why the response ended before it was expected to. */
-        fun describe(): String = failure?.let { it.message ?: it.toString() } ?: "the stream ended early"
+        fun describe(): String =
+            failure?.let { "the connection broke (${it.javaClass.simpleName})" } ?: "the stream ended early"
     }
 }
 
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -36,7 +36,7 @@
   local text=$1
   shift
   for _ in $(seq 1 240); do
-    if "$@" 2>/dev/null | grep -q -- "$text"; then return 0; fi
+    if [[ $("$@" 2>/dev/null) =~ $text ]]; then return 0; fi
     sleep 0.25
   done
   echo "gave up waiting for '$text'"
@@ -90,10 +90,11 @@
 curl -sN -D "$work/chat.headers" -H "$key" -d "$chat" "${entries[0]}/v1/chat/completions" >"$work/chat.events" &
 caller=$!
 await "n20 " cat "$work/chat.events"
-busy=$(for n in "${!engine[@]}"; do
-  address=$(sed -n 's/.*listens at //p' "$work/$n.out")
-  curl -s "$address/v1/engine/live" | grep -q '"running":[1-9]' && echo "$n"
-done | head -n 1)
+busy=""
+for name in "${!engine[@]}"; do
+  live=$(curl -s "$(sed -n 's/.*listens at //p' "$work/$name.out")/v1/engine/live")
+  if [[ $live != *'"running":0'* ]]; then busy=$name; fi
+done
 victim="${busy%-*}-2"
 echo "killing instance $victim, a member of the replica led by $busy"
 kill -9 "${engine[$victim]}"
