Retry the order in the process test only once the service has received it

Cause: in a clean clone the retry, sent meanwhile, now and then arrived first and ran the order itself; the test then waited in vain for 'in progress'. Ruled out: a second run (the service ran it once). Conclusion: the service stand-in tells what it has received; the check that the retry is refused as in progress is now strict.

--- a/process-test/src/test/kotlin/auburnhall/process/ProcessFaultTest.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/ProcessFaultTest.kt
@@ -39,12 +39,13 @@
     @Test
     fun `an order runs once though the process that serves it is killed and the caller retries elsewhere`() =
         testFleet().use { fleet ->
-            fleet.fault(fleet.service.address, """{"orders":1,"delayBeforeMillis":3000}""")
+            fleet.fault(fleet.service.address, """{"orders":1,"delayBeforeMillis":8000}""")
             val first = CompletableFuture.supplyAsync { fleet.order(fleet.entries[0], "order-1") }
-            awaitUntil(
-                "the order to be in progress",
-                fleet::outputs,
-            ) { isKnown(fleet.order(fleet.entries[1], "order-1")) }
+            awaitUntil("the service to receive the order", fleet::outputs) {
+                fleet.get(fleet.service.address, "/live").contains("\"received\":1")
+            }
+            val meanwhile = fleet.order(fleet.entries[1], "order-1") as HttpOutcome.Answer
+            assertEquals(HTTP_CONFLICT, meanwhile.status, meanwhile.text())
             fleet.entries[0].process.kill()
             assertTrue(first.get() is HttpOutcome.NoAnswer)
             awaitUntil("the order to have run", fleet::outputs) { fleet.ordersRun() == 1 }
@@ -105,8 +106,6 @@
             }
         }
 
-    private fun isKnown(outcome: HttpOutcome) = outcome is HttpOutcome.Answer && outcome.status == HTTP_CONFLICT
-
     private companion object {
         const val EXIT_ON_SIGTERM = 143
         const val HTTP_CREATED = 201
--- a/standin/src/main/kotlin/auburnhall/standin/service/ServiceCommand.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/service/ServiceCommand.kt
@@ -70,6 +70,7 @@
     private val runs = ConcurrentLinkedQueue<ServiceRun>()
     private val count = AtomicInteger()
     private val faulty = AtomicInteger()
+    private val received = AtomicInteger()
 
     @Volatile
     private var faults = ServiceFaults()
@@ -86,6 +87,7 @@
     private fun handle(request: Request): Response =
         when {
             request.uri.path == "/history" -> json(EngineProtocol.json.encodeToString(runs.toList()))
+            request.uri.path == "/live" -> json("""{"received":${received.get()}}""")
             request.uri.path == "/faults" -> fault(request)
             request.method == Method.GET -> json("""{"path":"${request.uri.path}","in_stock":42}""")
             else -> order(request)
@@ -99,6 +101,7 @@
 
     private fun order(request: Request): Response {
         val body = request.bodyString()
+        received.incrementAndGet()
         val f = if (faulty.getAndUpdate { (it - 1).coerceAtLeast(0) } > 0) faults else ServiceFaults()
         pause(f.delayBeforeMillis)
         val number = count.incrementAndGet()
