--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -19,6 +19,8 @@
 import auburnhall.replica.ControllerTerm
 import auburnhall.replica.Order
 import auburnhall.replica.ReplicaController
+import auburnhall.replica.ReplicaEpoch
+import auburnhall.replica.ReplicaListener
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import kotlin.random.Random
@@ -31,6 +33,12 @@
         fleet: Fleet,
     )
 
+    /** All members of a replica that was suspected have answered. */
+    fun onSound(key: ReplicaEpoch)
+
+    /** A replica is taken apart and must get no more requests. */
+    fun onBreaking(key: ReplicaEpoch)
+
     /** The other processes, by name, with the hosts at which they are reached. */
     fun onPeers(peers: Map<String, String>)
 }
@@ -46,7 +54,8 @@
     private val events: EventListener,
     private val listener: ControlListener,
 ) : MirrorListener,
-    LeadershipListener {
+    LeadershipListener,
+    ReplicaListener {
     private val mirror = StoreMirror("", store, clock, scheduler, random, events, this)
     private val feed = FleetFeed(clock, events, ::storeWasAway)
     private val registration = Registration(settings.processName, settings.host, store, scheduler, events)
@@ -59,6 +68,7 @@
     private var revision = 0L
     private var term: ControllerTerm? = null
     private var peersChanged = false
+    private var controlDue = false
 
     /** Whether this process controls the replicas. */
     val isLeading: Boolean get() = leadership.isLeading
@@ -77,10 +87,15 @@
     }
 
     /** A replica has fallen silent. */
-    fun onSuspect(
-        replica: String,
-        epoch: Long,
-    ) = controllers.values.forEach { it.onSuspect(replica, epoch) }
+    fun onSuspect(key: ReplicaEpoch) {
+        if (!leadership.isLeading) return
+        controllers.values.forEach { it.onSuspect(key) }
+        controlSoon()
+    }
+
+    override fun onSound(key: ReplicaEpoch) = listener.onSound(key)
+
+    override fun onBreaking(key: ReplicaEpoch) = listener.onBreaking(key)
 
     override fun onPut(item: StoreItem) {
         when {
@@ -174,7 +189,7 @@
         val current = term ?: return
         for (service in configuration?.services?.values.orEmpty()) {
             val engine = service.engine ?: continue
-            val controller = controllers.getOrPut(service.name) { ReplicaController(service.name, clock, current, events) }
+            val controller = controllers.getOrPut(service.name) { newController(service.name, current) }
             controller.tick(fleet, engine).forEach { send(controller, it) }
         }
     }
@@ -186,11 +201,30 @@
         if (order !is Order.Probe) {
             events.log("order.sent", "order" to order.javaClass.simpleName, "worker" to order.worker.id, "fleet" to revision)
         }
-        workers.send(order) { controller.onResult(order, it) }
+        workers.send(order) {
+            controller.onResult(order, it)
+            controlSoon()
+        }
     }
 
+    /** Decides again without waiting for the next tick; several results that come together are decided on at once. */
+    private fun controlSoon() {
+        if (controlDue) return
+        controlDue = true
+        scheduler.after(CONTROL_SOON_MS) {
+            controlDue = false
+            if (leadership.isLeading) control()
+        }
+    }
+
+    private fun newController(
+        service: String,
+        current: ControllerTerm,
+    ) = ReplicaController(service, clock, current, events, this)
+
     private companion object {
         const val TICK_MS = 100L
+        const val CONTROL_SOON_MS = 5L
 
         /** Epochs of one term; more than any term uses. */
         const val EPOCHS_PER_REVISION = 100_000L
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -28,6 +28,7 @@
 import auburnhall.platform.Readiness
 import auburnhall.platform.SettingsFile
 import auburnhall.platform.WorkerCalls
+import auburnhall.replica.ReplicaEpoch
 import auburnhall.routing.AdmissionPolicy
 import auburnhall.routing.LoadBook
 import auburnhall.routing.RetryBounds
@@ -55,6 +56,7 @@
     private val control = LoopScheduler(controlLoop)
     private val load = LoadBook(clock)
     private val health = TargetHealth(clock)
+    private val silence = SilenceMonitor(clock)
     private val client = HttpClient(trafficLoop, clock)
     private val news: PeerNews = PeerNews(
         settings.processName,
@@ -63,8 +65,9 @@
         traffic,
         load,
         health,
+        silence,
         { parts.state.targets },
-        { replica -> control.run { plane.onSuspect(replica.name, replica.epoch) } },
+        { replica -> control.run { plane.onSuspect(ReplicaEpoch(replica.name, replica.epoch)) } },
     )
     private val parts: GatewayParts = GatewayParts(
         clock = clock,
@@ -75,7 +78,7 @@
         router = Router(load, health, settings.dataCentre, random),
         load = load,
         health = health,
-        silence = SilenceMonitor(clock),
+        silence = silence,
         admission = AdmissionPolicy { random.nextDouble() },
         listener = log,
         metrics = metrics,
@@ -128,6 +131,10 @@
         traffic.run { gateway.update(state) }
     }
 
+    override fun onSound(key: ReplicaEpoch) = traffic.run { news.tell(targetKey(key), Finding.SOUND) }
+
+    override fun onBreaking(key: ReplicaEpoch) = traffic.run { news.tell(targetKey(key), Finding.BREAKING) }
+
     override fun onPeers(peers: Map<String, String>) {
         val hosts = peers.values.toList()
         traffic.run { news.onPeers(hosts) }
@@ -142,11 +149,9 @@
 
     private fun limits(): CallerLimits = parts.state.configuration?.limits ?: CallerLimits.DEFAULT
 
-    private fun onSuspect(key: TargetKey) {
-        news.suspect(key)
-        val replica = parts.state.targets.find(key)?.replica ?: return
-        control.run { plane.onSuspect(replica.name, replica.epoch) }
-    }
+    private fun targetKey(key: ReplicaEpoch) = TargetTable.keyOf(key.replica, key.epoch)
+
+    private fun onSuspect(key: TargetKey) = news.tell(key, Finding.SUSPECT)
 
     private fun onReadiness(
         request: InboundRequest,
--- a/entry/src/main/kotlin/auburnhall/entry/PeerNews.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerNews.kt
@@ -7,6 +7,7 @@
 import auburnhall.core.Replica
 import auburnhall.core.Scheduler
 import auburnhall.routing.LoadBook
+import auburnhall.routing.SilenceMonitor
 import auburnhall.routing.TargetHealth
 import auburnhall.routing.TargetKey
 import auburnhall.routing.TargetTable
@@ -34,10 +35,23 @@
     /** Targets by hash, each with the requests in progress there at the same index of [counts]. */
     @ProtoNumber(2) val targets: List<Int> = emptyList(),
     @ProtoNumber(3) val counts: List<Int> = emptyList(),
-    /** The replica that fell silent; null in a report of load. */
-    @ProtoNumber(4) val suspect: String? = null,
+    /** The replica that [finding] is about; null in a report of load. */
+    @ProtoNumber(4) val replica: String? = null,
+    @ProtoNumber(5) val finding: Finding = Finding.SUSPECT,
 )
 
+/** What is told of a replica. */
+enum class Finding {
+    /** It fell silent. */
+    SUSPECT,
+
+    /** All its members answered. */
+    SOUND,
+
+    /** It is taken apart. */
+    BREAKING,
+}
+
 /** Sends and receives news. Traffic thread only. */
 class PeerNews(
     private val process: String,
@@ -46,6 +60,7 @@
     private val scheduler: Scheduler,
     private val load: LoadBook,
     private val health: TargetHealth,
+    private val silence: SilenceMonitor,
     private val targets: () -> TargetTable,
     private val onSuspect: (Replica) -> Unit,
 ) {
@@ -74,8 +89,14 @@
         peers = hosts.map { InetSocketAddress(it, port) }
     }
 
-    /** Tells all processes that the replica of [key] fell silent. */
-    fun suspect(key: TargetKey) = send(PeerMessage(process, suspect = key.text))
+    /** Tells all processes, this one included, what was found of the replica of [key]. */
+    fun tell(
+        key: TargetKey,
+        finding: Finding,
+    ) {
+        send(PeerMessage(process, replica = key.text, finding = finding))
+        onFinding(key, finding)
+    }
 
     private fun tell() {
         val now = HashMap(load.own())
@@ -99,12 +120,29 @@
     }
 
     private fun onMessage(message: PeerMessage) {
-        val suspect = message.suspect?.let { targets().find(TargetKey(it)) }
-        if (suspect != null) {
-            health.suspect(suspect.key)
-            suspect.replica?.let(onSuspect)
-        } else if (message.suspect == null) {
+        val replica = message.replica
+        if (replica == null) {
             load.onTold(message.process, message.targets.zip(message.counts).toMap())
+        } else {
+            onFinding(TargetKey(replica), message.finding)
+        }
+    }
+
+    private fun onFinding(
+        key: TargetKey,
+        finding: Finding,
+    ) {
+        val replica = targets().find(key)?.replica ?: return
+        when (finding) {
+            Finding.BREAKING -> health.markLost(key)
+            Finding.SUSPECT -> {
+                health.suspect(key)
+                onSuspect(replica)
+            }
+            Finding.SOUND -> {
+                health.clear(key)
+                silence.onHeard(key)
+            }
         }
     }
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -23,8 +23,13 @@
     private val resumeAfter: String?,
     private val owner: Forwarding,
 ) : ResponseListener {
-    /** When it was sent, by the monotonic clock. */
-    val sentAt = parts.clock.nowMs()
+    /** When it was sent, or its last event came, by the monotonic clock. */
+    var lastEventAt = parts.clock.nowMs()
+        private set
+
+    /** Whether an event came. */
+    var hasEvents = false
+        private set
 
     /** Whether any byte may have reached the worker. */
     var sent = true
@@ -90,12 +95,21 @@
         val bytes = ByteArray(content.readableBytes())
         content.readBytes(bytes)
         if (relaying) {
-            events.add(bytes).forEach { owner.onEvent(this, it) }
+            relay(bytes)
         } else {
             body.write(bytes)
         }
     }
 
+    private fun relay(bytes: ByteArray) {
+        val whole = events.add(bytes)
+        if (whole.isEmpty()) return
+        hasEvents = true
+        lastEventAt = parts.clock.nowMs()
+        parts.silence.onHeard(target.key)
+        whole.forEach { owner.onEvent(this, it) }
+    }
+
     override fun onEnd() {
         val read = checkNotNull(answer)
         val success = read.status in SUCCESS
--- a/gateway/src/main/kotlin/auburnhall/gateway/Forwarding.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Forwarding.kt
@@ -39,7 +39,6 @@
     /** Whether the caller has the head of a stream. */
     private var streaming = false
     private var lastEventId: Long? = null
-    private var lastEventAt = accepted.request.receivedAt
 
     /** 0 is served first. */
     val priority: Int get() = accepted.customer?.priority ?: route.priority
@@ -75,22 +74,26 @@
     fun checkSilence() {
         val current = attempt ?: return
         val key = current.target.key
-        val since = maxOf(lastEventAt, current.sentAt)
-        val silent = parts.silence.judge(key, since, streaming) == Silence.SUSPECT
-        val told = parts.health.isSuspect(key) && parts.clock.nowMs() - since > TOLD_PATIENCE_MS
-        if (!silent && !told) return
-        if (silent && !parts.health.isSuspect(key)) {
-            parts.health.suspect(key)
-            parts.onSuspect.onSuspect(key)
-            parts.listener.logRequest("replica.suspected", accepted.id, "target" to key.text, "silent_since" to since)
-        }
-        if (mayRepeat() && hasAlternative()) {
+        val silence = parts.silence.judge(key, current.lastEventAt, current.hasEvents)
+        if (silence != Silence.NONE && !parts.health.isSuspect(key)) suspect(key, current)
+        val lost = silence == Silence.LOST || parts.health.isLost(key)
+        if (lost && mayRepeat() && hasAlternative()) {
             current.abandon()
             detach(current)
             retry("silent")
         }
     }
 
+    private fun suspect(
+        key: TargetKey,
+        current: Attempt,
+    ) {
+        parts.health.suspect(key)
+        parts.onSuspect.onSuspect(key)
+        val silentMs = parts.clock.nowMs() - current.lastEventAt
+        parts.listener.logRequest("replica.suspected", accepted.id, "target" to key.text, "silent_ms" to silentMs)
+    }
+
     private fun hasAlternative(): Boolean =
         parts.state.targets.of(accepted.service, accepted.terms.model).any {
             it.key !in sentTo && !parts.health.isSuspect(it.key)
@@ -129,10 +132,8 @@
         if (from !== attempt) return
         val id = event.id
         val last = lastEventId
-        parts.silence.onHeard(from.target.key)
         if (id != null && last != null && id <= last) return
         if (id != null) lastEventId = id
-        lastEventAt = parts.clock.nowMs()
         reply.write(Unpooled.wrappedBuffer(event.bytes))
     }
 
@@ -325,9 +326,6 @@
         const val OK = 200
         const val SERVER_ERROR = 500
 
-        /** Silence, in milliseconds, after which a stream leaves a replica that another process suspects. */
-        const val TOLD_PATIENCE_MS = 250L
-
         /** About the time in which another target is found or a full one has room. */
         const val NOT_RUN_RETRY_MS = 300L
         
--- a/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
@@ -43,7 +43,7 @@
 
     /** The next replica to form; null when there is none. */
     fun next(): Placement? {
-        val order = models.sortedBy { totalOf(it) / Layout.demand(it) }
+        val order = models.sortedWith(compareBy({ totalOf(it) / Layout.demand(it) }, { -it.size }))
         for (model in order) {
             val placement = free.domains.sorted().firstNotNullOfOrNull { place(model, it) } ?: continue
             free.take(placement.members)
@@ -58,11 +58,13 @@
         var room = loads
         val placements = ArrayList<Placement>()
         for (domain in free.domains.sorted()) {
+            val held = free.of(domain).mapNotNull { heldModel(it) }.groupingBy { it }.eachCount().toMutableMap()
             for (worker in free.of(domain).filter { !holdsAny(it) }) {
-                val model = spareModel(domain) ?: continue
+                val model = spareModel(domain, held) ?: continue
                 val staged = model.name in worker.stagedModels
                 if (!staged && room <= 0) continue
                 if (!staged) room--
+                held.merge(model.name, 1, Int::plus)
                 placements.add(Placement(model, listOf(worker)))
             }
         }
@@ -70,6 +72,12 @@
         return placements
     }
 
+    /** Whether so few replicas of [model] are left that spares of other models are used for it. */
+    private fun isShort(model: Model): Boolean {
+        val planned = plan.values.sumOf { it[model.name] ?: 0 }
+        return totalOf(model) < planned * SHORT_SHARE
+    }
+
     private fun totalOf(model: Model) = counts.filterKeys { it.second == model.name }.values.sum()
 
     private fun place(
@@ -78,32 +86,48 @@
     ): Placement? {
         val wanted = plan[domain]?.get(model.name) ?: 0
         val workers = free.of(domain)
-        if ((counts[domain to model.name] ?: 0) >= wanted || workers.size < model.size) return null
-        val ranked = workers.sortedWith(compareBy({ warmth(it, model) }, { it.id }))
+        if ((counts[domain to model.name] ?: 0) >= wanted) return null
+        val usable = workers.filter { warmth(it, model) != Warmth.OTHER || isShort(model) }
+        if (usable.size < model.size) return null
+        val ranked = usable.sortedWith(compareBy({ warmth(it, model) }, { it.id }))
         return Placement(model, ranked.take(model.size))
     }
 
-    /** The model whose loss hurts this domain most: the one with the largest replicas here. */
-    private fun spareModel(domain: String): Model? {
-        val here = models.filter { (plan[domain]?.get(it.name) ?: 0) > 0 }.ifEmpty { models }
-        return here.maxByOrNull { it.size * Layout.demand(it) }
+    /** The model whose members in [domain] are covered by the fewest spares, of which [held] are there by model. */
+    private fun spareModel(
+        domain: String,
+        held: Map<String, Int>,
+    ): Model? {
+        fun spares(model: Model) = held[model.name] ?: 0
+
+        fun members(model: Model) = (plan[domain]?.get(model.name) ?: 0) * model.size
+        val here = models.filter { members(it) > 0 }.ifEmpty { models }
+        return here.maxWithOrNull(compareBy({ members(it) / (spares(it) + 1) }, { -spares(it) }))
     }
 
-    private fun holdsAny(worker: Worker) = worker.membership != null || worker.loadedModels.isNotEmpty()
+    private fun heldModel(worker: Worker): String? =
+        worker.membership?.replica?.let { ReplicaName.modelOf(it) } ?: worker.loadedModels.firstOrNull()
+
+    private fun holdsAny(worker: Worker) = heldModel(worker) != null
 
     private fun warmth(
         worker: Worker,
         model: Model,
     ): Warmth {
-        val last = worker.membership?.replica?.let { ReplicaName.modelOf(it) }
+        val held = heldModel(worker)
         return when {
-            last == model.name || model.name in worker.loadedModels -> Warmth.LOADED
+            held == model.name -> Warmth.LOADED
             model.name in worker.stagedModels -> Warmth.STAGED
-            last == null && worker.loadedModels.isEmpty() -> Warmth.COLD
+            held == null -> Warmth.COLD
             else -> Warmth.OTHER
         }
     }
 
+    private companion object {
+        /** Part of the planned replicas below which a model is short. */
+        const val SHORT_SHARE = 0.7
+    }
+
     /** How soon a worker serves a model, the soonest first. */
     private enum class Warmth { LOADED, STAGED, COLD, OTHER }
 }
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
@@ -28,12 +28,22 @@
     fun nextEpoch(): Long = firstEpoch + used++
 }
 
+/** Told what the controller finds out of replicas that take requests. */
+interface ReplicaListener {
+    /** All members of [key] have just answered. */
+    fun onSound(key: ReplicaEpoch)
+
+    /** [key] is taken apart and must get no more requests. */
+    fun onBreaking(key: ReplicaEpoch)
+}
+
 /** Controls the replicas of [service]. Control thread only. */
 class ReplicaController(
     private val service: String,
     private val clock: Clock,
     private val term: ControllerTerm,
     private val listener: EventListener,
+    private val replicas: ReplicaListener,
 ) {
     private val startedAt = clock.nowMs()
     private val losses = Losses(clock)
@@ -42,13 +52,14 @@
     private val breakups = LinkedHashMap<ReplicaEpoch, Breakup>()
     private val unclearSince = HashMap<WorkerStart, Long>()
     private val suspects = LinkedHashSet<ReplicaEpoch>()
-
-    /** A process has heard nothing from the replica [name] at [epoch] for too long. */
-    fun onSuspect(
-        name: String,
-        epoch: Long,
-    ) {
-        suspects.add(ReplicaEpoch(name, epoch))
+    private val unheard = LinkedHashMap<ReplicaEpoch, MutableSet<WorkerStart>>()
+    private var listedWorkers = 0
+    private var listedSince = startedAt
+    private var settledOnce = false
+
+    /** A process has heard nothing from the replica [key] for too long. */
+    fun onSuspect(key: ReplicaEpoch) {
+        suspects.add(key)
     }
 
     /** What came of [order]. */
@@ -77,11 +88,22 @@
         noteMemberships(workers)
         orders += breakUp(fleet, engine, workers)
         orders += advance(workers)
-        if (clock.nowMs() - startedAt >= settleMs()) orders += formMore(workers, engine)
+        if (settled(workers)) orders += formMore(workers, engine)
         return orders
     }
 
-    private fun settleMs() = if (term.firstStart) FIRST_SETTLE_MS else SETTLE_MS
+    /** Whether the list is known well enough to form replicas: at the first start, once no more workers appear. */
+    private fun settled(workers: List<Worker>): Boolean {
+        val now = clock.nowMs()
+        if (workers.size != listedWorkers) {
+            listedWorkers = workers.size
+            listedSince = now
+        }
+        if (settledOnce) return true
+        val quiet = now - listedSince >= QUIET_MS || now - startedAt >= LONGEST_SETTLE_MS
+        settledOnce = if (term.firstStart) quiet else now - startedAt >= SETTLE_MS
+        return settledOnce
+    }
 
     private fun probes(
         fleet: Fleet,
@@ -90,6 +112,7 @@
         val named = fleet.replicas(service, engine.models).filter { ReplicaEpoch(it.name, it.epoch) in suspects }
         suspects.clear()
         val doubtful = fleet.ofService(service).filter { losses.isDoubtful(it) }
+        named.forEach { of -> unheard[ReplicaEpoch(of.name, of.epoch)] = of.members.mapTo(HashSet()) { it.start } }
         val wanted = named.flatMap { it.members } + doubtful + losses.toRecheck(fleet)
         return wanted.distinctBy { it.start }.filter { losses.beginProbe(it) }.map { Order.Probe(it) }
     }
@@ -123,6 +146,8 @@
     ) {
         if (key in breakups) return
         breakups[key] = Breakup(head, key)
+        unheard.remove(key)
+        replicas.onBreaking(key)
         listener.log("replica.breaking", "replica" to key, "cause" to cause, "fleet" to revision)
     }
 
@@ -275,9 +300,19 @@
         report: OrderResult.Report,
     ) {
         losses.onAnswer(worker)
+        noteHeard(worker)
         forming.values.forEach { if (worker.id in it.ids) it.onMembership(worker, report.membership) }
     }
 
+    private fun noteHeard(worker: Worker) {
+        unheard.values.forEach { it.remove(worker.start) }
+        val sound = unheard.filterValues { it.isEmpty() }.keys.toList()
+        sound.forEach {
+            unheard.remove(it)
+            replicas.onSound(it)
+        }
+    }
+
     private fun onNoAnswer(
         order: Order,
         result: OrderResult.NoAnswer,
@@ -332,8 +367,11 @@
         /** Time for orders of an earlier controller to show in the list. */
         const val SETTLE_MS = 1_500L
 
-        /** As above at the first start, when there was none; lets most workers register first. */
-        const val FIRST_SETTLE_MS = 800L
+        /** Time without a new worker after which all that are there are listed. */
+        const val QUIET_MS = 1_800L
+
+        /** Longest wait for workers to be listed. */
+        const val LONGEST_SETTLE_MS = 5_000L
 
         /** Loads before the first request are neither limited nor counted; traffic never starts sooner. */
         const val FIRST_LOADS_MS = 8_000L
--- a/routing/src/main/kotlin/auburnhall/routing/SilenceMonitor.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/SilenceMonitor.kt
@@ -11,8 +11,11 @@
     /** The replica was heard from lately. */
     NONE,
 
-    /** Nothing came from the replica for a time that no pass takes. */
+    /** Nothing came from the replica for a time that few passes take. */
     SUSPECT,
+
+    /** As above, and it was not found sound in the time that this takes. */
+    LOST,
 }
 
 /** Notes when each replica was last heard from. Traffic thread only. */
@@ -21,7 +24,7 @@
 ) {
     private val heardAt = HashMap<TargetKey, Long>()
 
-    /** Bytes of a stream of [key] arrived. */
+    /** Bytes of a stream of [key] arrived, or all its members answered. */
     fun onHeard(key: TargetKey) {
         heardAt[key] = clock.nowMs()
     }
@@ -34,7 +37,12 @@
     ): Silence {
         val silentSince = maxOf(waitingSince, heardAt[key] ?: 0L)
         val patience = if (started) STARTED_PATIENCE_MS else FIRST_EVENT_PATIENCE_MS
-        return if (clock.nowMs() - silentSince >= patience) Silence.SUSPECT else Silence.NONE
+        val silentMs = clock.nowMs() - silentSince
+        return when {
+            silentMs >= patience + VERDICT_MS -> Silence.LOST
+            silentMs >= patience -> Silence.SUSPECT
+            else -> Silence.NONE
+        }
     }
 
     /** Forgets replicas that are gone. */
@@ -44,9 +52,12 @@
 
     companion object {
         /** Several passes of a replica that reads long prompts between tokens. */
-        const val STARTED_PATIENCE_MS = 450L
+        const val STARTED_PATIENCE_MS = 300L
 
         /** As above, with the time to read this request's own prompt and to be admitted. */
-        const val FIRST_EVENT_PATIENCE_MS = 900L
+        const val FIRST_EVENT_PATIENCE_MS = 700L
+
+        /** Time in which the controller finds a sound replica sound and says so. */
+        const val VERDICT_MS = 80L
     }
 }
--- a/routing/src/main/kotlin/auburnhall/routing/TargetHealth.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/TargetHealth.kt
@@ -32,18 +32,26 @@
         records.getOrPut(key) { Record() }.suspectUntil = clock.nowMs() + SUSPECT_MS
     }
 
+    /** [key] is being taken apart. */
+    fun markLost(key: TargetKey) {
+        records.getOrPut(key) { Record() }.lostUntil = clock.nowMs() + LOST_MS
+    }
+
     /** [key] was heard from again. */
     fun clear(key: TargetKey) {
         records[key]?.suspectUntil = 0
     }
 
-    /** Whether [key] is suspected to be lost. */
-    fun isSuspect(key: TargetKey): Boolean = (records[key]?.suspectUntil ?: 0) > clock.nowMs()
+    /** Whether [key] is lost, or suspected to be. */
+    fun isSuspect(key: TargetKey): Boolean = isLost(key) || (records[key]?.suspectUntil ?: 0) > clock.nowMs()
+
+    /** Whether [key] is being taken apart. */
+    fun isLost(key: TargetKey): Boolean = (records[key]?.lostUntil ?: 0) > clock.nowMs()
 
     /** Whether requests go elsewhere when they can. */
     fun isAvoided(key: TargetKey): Boolean {
         val record = records[key] ?: return false
-        return maxOf(record.avoidUntil, record.suspectUntil) > clock.nowMs()
+        return maxOf(record.avoidUntil, record.suspectUntil, record.lostUntil) > clock.nowMs()
     }
 
     /** Forgets targets that are gone. */
@@ -55,13 +63,17 @@
         var failures = 0
         var avoidUntil = 0L
         var suspectUntil = 0L
+        var lostUntil = 0L
     }
 
     private companion object {
         const val FIRST_PAUSE_MS = 250L
         const val MAX_DOUBLINGS = 4
 
-        /** Covers the time until a replica that lost a member is formed anew under another epoch. */
-        const val SUSPECT_MS = 2_000L
+        /** Covers the time in which the controller finds out; a replica that is sound is cleared sooner. */
+        const val SUSPECT_MS = 800L
+
+        /** Covers the time until the list shows that the replica is gone. */
+        const val LOST_MS = 4_000L
     }
 }
--- a/routing/src/main/kotlin/auburnhall/routing/Targets.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Targets.kt
@@ -56,7 +56,13 @@
         fun keyOf(worker: Worker) = TargetKey("${worker.id}@${worker.bornAt}")
 
         /** The key of [replica]. */
-        fun keyOf(replica: Replica) = TargetKey("${replica.name}@${replica.epoch}")
+        fun keyOf(replica: Replica) = keyOf(replica.name, replica.epoch)
+
+        /** The key of the replica [name] at [epoch]. */
+        fun keyOf(
+            name: String,
+            epoch: Long,
+        ) = TargetKey("$name@$epoch")
 
         private fun targetsOf(
             service: Service,
