Let members leave a replica whose head cannot be reached before they join another

A head that the controller could not reach was taken for dead, but it was only cut off, and still open while its members were ordered into another replica.

Now each member leaves the replicas that may still count it (the one that it reports and the last that it was ordered into) before it joins. The loss of a head is told to all processes, once a second while it is listed.

--- a/replica/src/main/kotlin/auburnhall/replica/Forming.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Forming.kt
@@ -29,7 +29,10 @@
     val giveUpAt: Long,
     /** Whether it only keeps weights ready and never takes requests. */
     val spare: Boolean,
+    /** Replicas that each member, by id, has to leave before it joins, since their heads may still take requests. */
+    toLeave: Map<String, Set<ReplicaEpoch>> = emptyMap(),
 ) {
+    private val unleft = toLeave.mapValues { it.value.toMutableSet() }
     private val accepted = HashSet<String>()
     private val ready = HashSet<String>()
     private val lastTried = HashMap<String, Long>()
@@ -54,6 +57,17 @@
     /** Whether [membership] is that of a member of this replica at this epoch. */
     fun matches(membership: Membership?): Boolean = membership?.key == key
 
+    /** A replica that [worker] has to leave; null when it may join. */
+    fun toLeave(worker: Worker): ReplicaEpoch? = unleft[worker.id]?.firstOrNull()
+
+    /** [worker] has left [replica]. */
+    fun onLeft(
+        worker: Worker,
+        replica: ReplicaEpoch,
+    ) {
+        if (unleft[worker.id]?.remove(replica) == true) lastTried.remove(worker.id)
+    }
+
     /** [worker] took the order to join. */
     fun onAccepted(worker: Worker) {
         accepted.add(worker.id)
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
@@ -50,8 +50,10 @@
     private val loads = LoadRate(clock)
     private val forming = LinkedHashMap<String, Forming>()
     private val breakups = LinkedHashMap<ReplicaEpoch, Breakup>()
+    private val lastJoined = HashMap<WorkerStart, ReplicaEpoch>()
     private val unclearSince = HashMap<WorkerStart, Long>()
     private val suspects = LinkedHashSet<ReplicaEpoch>()
+    private val announcedAt = HashMap<ReplicaEpoch, Long>()
     private val unheard = LinkedHashMap<ReplicaEpoch, MutableSet<WorkerStart>>()
     private var listedWorkers = 0
     private var listedSince = startedAt
@@ -128,6 +130,7 @@
         workers: List<Worker>,
     ): List<Order> {
         val whole = fleet.replicas(service, engine.models).associateBy { ReplicaEpoch(it.name, it.epoch) }
+        announceLostHeads(workers)
         for (head in workers.filter(::takesRequests)) {
             val key = checkNotNull(head.membership).key
             val replica = whole[key]
@@ -138,6 +141,18 @@
         return breakups.values.mapNotNull { it.nextOrder(clock.nowMs()) }
     }
 
+    /** Heads that do not answer cannot be told to leave; other processes are told to send them nothing. */
+    private fun announceLostHeads(workers: List<Worker>) {
+        val now = clock.nowMs()
+        for (head in workers) {
+            val membership = head.membership
+            val lostHead = membership?.state == MemberState.OPEN && membership.rank == 0 && losses.isLost(head)
+            if (!lostHead || now - (announcedAt[membership.key] ?: 0) < ANNOUNCE_MS) continue
+            announcedAt[membership.key] = now
+            replicas.onBreaking(membership.key)
+        }
+    }
+
     private fun beginBreakup(
         head: Worker,
         key: ReplicaEpoch,
@@ -210,10 +225,19 @@
             when {
                 !replica.due(worker, now, period) -> null
                 accepted -> if (replica.spare) null else Order.Probe(worker)
-                else -> Order.Join(worker, replica.replica, replica.epoch, replica.model, replica.ids)
+                else -> leaveOrJoin(replica, worker)
             }
         }
 
+    private fun leaveOrJoin(
+        replica: Forming,
+        worker: Worker,
+    ): Order {
+        replica.toLeave(worker)?.let { return Order.Leave(worker, it.replica, it.epoch) }
+        lastJoined[worker.start] = replica.key
+        return Order.Join(worker, replica.replica, replica.epoch, replica.model, replica.ids)
+    }
+
     private fun formMore(
         workers: List<Worker>,
         engine: EngineProfile,
@@ -247,7 +271,8 @@
         val cold = members.count { model.name !in it.stagedModels && model.name !in it.loadedModels }
         repeat(cold) { loads.begin() }
         val patience = if (cold > 0) model.loadMs * LOAD_PATIENCE + GIVE_UP_MS else model.warmMs + GIVE_UP_MS
-        forming[name] = Forming(name, epoch, model.name, members, clock.nowMs() + patience, spare)
+        val toLeave = members.associate { it.id to replicasToLeave(it) }
+        forming[name] = Forming(name, epoch, model.name, members, clock.nowMs() + patience, spare, toLeave)
         listener.log(
             if (spare) "spare.begun" else "replica.begun",
             "replica" to name,
@@ -257,6 +282,10 @@
         )
     }
 
+    /** Replicas whose head may still count [worker] as a member: the one it reports, and the last that it was to join. */
+    private fun replicasToLeave(worker: Worker): Set<ReplicaEpoch> =
+        setOfNotNull(worker.membership?.key, lastJoined[worker.start])
+
     private fun usable(worker: Worker) = !worker.draining && !losses.isLost(worker)
 
     private fun servingCounts(workers: List<Worker>): Map<Pair<String, String>, Int> {
@@ -275,7 +304,9 @@
         val heads = workers.filter(::takesRequests)
         val held = heads.mapTo(HashSet()) { checkNotNull(it.membership).key }
         val free = workers.filter { usable(it) && it.start !in taken && !isHeld(it, held) }
-        unclearSince.keys.retainAll(workers.mapTo(HashSet()) { it.start })
+        val listed = workers.mapTo(HashSet()) { it.start }
+        unclearSince.keys.retainAll(listed)
+        lastJoined.keys.retainAll(listed)
         return free
     }
 
@@ -360,7 +391,10 @@
             is Order.Leave -> order.replica to order.epoch
             else -> return
         }
-        breakups[ReplicaEpoch(replica, epoch)]?.onResult(result)
+        val key = ReplicaEpoch(replica, epoch)
+        breakups[key]?.takeIf { it.head.start == order.worker.start }?.onResult(result)
+        forming.values.filter { order.worker.id in it.ids }.forEach { it.onLeft(order.worker, key) }
+        losses.onAnswer(order.worker)
     }
 
     private companion object {
@@ -376,6 +410,9 @@
         /** Loads before the first request are neither limited nor counted; traffic never starts sooner. */
         const val FIRST_LOADS_MS = 8_000L
         const val JOIN_RETRY_MS = 500L
+
+        /** The loss of a head is told again after this time, in milliseconds, while the head is listed. */
+        const val ANNOUNCE_MS = 1_000L
         const val READY_POLL_MS = 200L
         const val OPEN_RETRY_MS = 150L
         const val GIVE_UP_MS = 5_000L
