Keep replicas in service whose member is only cut off from the store

A replica counts once all its members are listed under it, and from then on until its head or a listed member says otherwise or the controller takes it apart; members whose entries are missing are probed each second.

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -9,6 +9,8 @@
 import auburnhall.core.EventListener
 import auburnhall.core.Fleet
 import auburnhall.core.KeyValueStore
+import auburnhall.core.Replica
+import auburnhall.core.ReplicaTracker
 import auburnhall.core.Scheduler
 import auburnhall.core.Settings
 import auburnhall.core.StoreItem
@@ -27,10 +29,11 @@
 
 /** Receives what the control thread knows; called on the control thread. */
 interface ControlListener {
-    /** Requests are to be served under [configuration] with the workers of [fleet]. */
+    /** Requests are to be served under [configuration] with the workers of [fleet] and the open [replicas] by service. */
     fun onState(
         configuration: Configuration,
         fleet: Fleet,
+        replicas: Map<String, List<Replica>>,
     )
 
     /** All members of a replica that was suspected have answered. */
@@ -62,6 +65,7 @@
     private val leadership =
         Leadership(settings.processName, store, clock, scheduler, random, events, this, settings.minLeaseMs)
     private val peers = HashMap<String, String>()
+    private val trackers = HashMap<String, ReplicaTracker>()
     private val controllers = HashMap<String, ReplicaController>()
     private var configuration: Configuration? = null
     private var fleet = Fleet.EMPTY
@@ -174,7 +178,10 @@
 
     private fun publish() {
         fleet = feed.fleet(revision)
-        configuration?.let { listener.onState(it, fleet) }
+        val current = configuration ?: return
+        val engines = current.services.values.mapNotNull { of -> of.engine?.let { of.name to it } }
+        val open = engines.associate { (name, engine) -> name to tracker(name).update(fleet, engine.models) }
+        listener.onState(current, fleet, open)
     }
 
     private fun tick() {
@@ -190,7 +197,7 @@
         for (service in configuration?.services?.values.orEmpty()) {
             val engine = service.engine ?: continue
             val controller = controllers.getOrPut(service.name) { newController(service.name, current) }
-            controller.tick(fleet, engine).forEach { send(controller, it) }
+            controller.tick(fleet, engine, tracker(service.name)).forEach { send(controller, it) }
         }
     }
 
@@ -217,6 +224,8 @@
         }
     }
 
+    private fun tracker(service: String) = trackers.getOrPut(service) { ReplicaTracker(service) }
+
     private fun newController(
         service: String,
         current: ControllerTerm,
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -8,6 +8,7 @@
 import auburnhall.core.Clock
 import auburnhall.core.Configuration
 import auburnhall.core.Fleet
+import auburnhall.core.Replica
 import auburnhall.core.Settings
 import auburnhall.core.log
 import auburnhall.gateway.FilterChain
@@ -126,8 +127,9 @@
     override fun onState(
         configuration: Configuration,
         fleet: Fleet,
+        replicas: Map<String, List<Replica>>,
     ) {
-        val state = GatewayState(configuration, TargetTable(fleet, configuration.services.values))
+        val state = GatewayState(configuration, TargetTable(fleet, configuration.services.values, replicas))
         traffic.run { gateway.update(state) }
     }
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/GatewayParts.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/GatewayParts.kt
@@ -30,7 +30,7 @@
     val targets: TargetTable,
 ) {
     companion object {
-        val EMPTY = GatewayState(null, TargetTable(Fleet.EMPTY, emptyList()))
+        val EMPTY = GatewayState(null, TargetTable(Fleet.EMPTY, emptyList(), emptyMap()))
     }
 }
 
--- a/replica/src/main/kotlin/auburnhall/replica/Losses.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Losses.kt
@@ -22,6 +22,7 @@
 ) {
     private val missed = HashMap<WorkerStart, Int>()
     private val lost = HashMap<WorkerStart, Long>()
+    private val askedAt = HashMap<WorkerStart, Long>()
     private val probing = HashSet<WorkerStart>()
 
     /** Whether [worker] is taken for lost. */
@@ -48,6 +49,14 @@
     /** Whether a first probe of [worker] was missed and it is to be asked again. */
     fun isDoubtful(worker: Worker): Boolean = worker.start in missed && !isLost(worker)
 
+    /** Whether [worker], which is not listed, is to be asked again whether it is still there. */
+    fun unlistedDue(worker: Worker): Boolean {
+        val now = clock.nowMs()
+        if (now - (askedAt[worker.start] ?: -RECHECK_MS) < RECHECK_MS) return false
+        askedAt[worker.start] = now
+        return true
+    }
+
     /** Lost workers of [fleet] that are worth another probe. */
     fun toRecheck(fleet: Fleet): List<Worker> {
         val now = clock.nowMs()
@@ -56,12 +65,16 @@
         return due
     }
 
-    /** Forgets starts that are no longer listed. */
-    fun retain(fleet: Fleet) {
-        val listed = fleet.workers.values.mapTo(HashSet()) { it.start }
+    /** Forgets starts that are neither listed nor [unlisted] members of replicas that take requests. */
+    fun retain(
+        fleet: Fleet,
+        unlisted: List<Worker>,
+    ) {
+        val listed = (fleet.workers.values + unlisted).mapTo(HashSet()) { it.start }
         missed.keys.retainAll(listed)
         lost.keys.retainAll(listed)
         probing.retainAll(listed)
+        askedAt.keys.retainAll(listed)
     }
 
     private companion object {
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
@@ -13,6 +13,7 @@
 import auburnhall.core.Model
 import auburnhall.core.Replica
 import auburnhall.core.ReplicaName
+import auburnhall.core.ReplicaTracker
 import auburnhall.core.Worker
 import auburnhall.core.log
 
@@ -82,13 +83,15 @@
     fun tick(
         fleet: Fleet,
         engine: EngineProfile,
+        tracker: ReplicaTracker,
     ): List<Order> {
         val workers = fleet.ofService(service)
-        losses.retain(fleet)
+        val unlisted = tracker.open.flatMap { tracker.missing(it, fleet) }
+        losses.retain(fleet, unlisted)
         val orders = ArrayList<Order>()
-        orders += probes(fleet, engine)
+        orders += probes(fleet, tracker.open, unlisted)
         noteMemberships(workers)
-        orders += breakUp(fleet, engine, workers)
+        orders += breakUp(fleet, tracker.open, workers)
         orders += advance(workers)
         if (settled(workers)) orders += formMore(workers, engine)
         return orders
@@ -109,13 +112,15 @@
 
     private fun probes(
         fleet: Fleet,
-        engine: EngineProfile,
+        open: List<Replica>,
+        unlisted: List<Worker>,
     ): List<Order> {
-        val named = fleet.replicas(service, engine.models).filter { ReplicaEpoch(it.name, it.epoch) in suspects }
+        val named = open.filter { ReplicaEpoch(it.name, it.epoch) in suspects }
         suspects.clear()
-        val doubtful = fleet.ofService(service).filter { losses.isDoubtful(it) }
+        val doubtful = (fleet.ofService(service) + unlisted).filter { losses.isDoubtful(it) }
         named.forEach { of -> unheard[ReplicaEpoch(of.name, of.epoch)] = of.members.mapTo(HashSet()) { it.start } }
-        val wanted = named.flatMap { it.members } + doubtful + losses.toRecheck(fleet)
+        val unlistedDue = unlisted.filter { losses.unlistedDue(it) }
+        val wanted = named.flatMap { it.members } + doubtful + losses.toRecheck(fleet) + unlistedDue
         return wanted.distinctBy { it.start }.filter { losses.beginProbe(it) }.map { Order.Probe(it) }
     }
 
@@ -126,15 +131,15 @@
 
     private fun breakUp(
         fleet: Fleet,
-        engine: EngineProfile,
+        open: List<Replica>,
         workers: List<Worker>,
     ): List<Order> {
-        val whole = fleet.replicas(service, engine.models).associateBy { ReplicaEpoch(it.name, it.epoch) }
+        val whole = open.associateBy { ReplicaEpoch(it.name, it.epoch) }
         announceLostHeads(workers)
         for (head in workers.filter(::takesRequests)) {
             val key = checkNotNull(head.membership).key
             val replica = whole[key]
-            val cause = if (replica == null) "member missing" else causeToBreak(replica)
+            val cause = if (replica == null) "a member drains or has left" else causeToBreak(replica)
             if (cause != null && forming[key.replica]?.key != key) beginBreakup(head, key, cause, fleet.revision)
         }
         breakups.values.removeIf { it.isOver(workers) || losses.isLost(it.head) }
@@ -175,12 +180,7 @@
 
     private fun causeToBreak(replica: Replica): String? {
         val lost = replica.members.firstOrNull { losses.isLost(it) }
-        val leaving = replica.members.firstOrNull { it.draining }
-        return when {
-            lost != null -> "member ${lost.id} lost"
-            leaving != null -> "member ${leaving.id} drains"
-            else -> null
-        }
+        return lost?.let { "member ${it.id} lost" }
     }
 
     private fun advance(workers: List<Worker>): List<Order> {
@@ -399,7 +399,7 @@
 
     private companion object {
         /** Time for orders of an earlier controller to show in the list. */
-        const val SETTLE_MS = 1_500L
+        const val SETTLE_MS = 1_100L
 
         /** Time without a new worker after which all that are there are listed. */
         const val QUIET_MS = 1_800L
--- a/routing/src/main/kotlin/auburnhall/routing/Targets.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Targets.kt
@@ -32,8 +32,10 @@
 class TargetTable(
     fleet: Fleet,
     services: Collection<Service>,
+    /** Replicas that take requests, by service. */
+    replicas: Map<String, List<Replica>>,
 ) {
-    private val byService = services.associate { it.name to targetsOf(it, fleet) }
+    private val byService = services.associate { it.name to targetsOf(it, fleet, replicas[it.name].orEmpty()) }
     private val present = byService.values.flatten().associateBy { it.key }
 
     /** Targets of [service] that serve [model]; for plain services [model] is ignored. */
@@ -67,15 +69,13 @@
         private fun targetsOf(
             service: Service,
             fleet: Fleet,
-        ): List<Target> = service.engine?.let { replicaTargets(service, it, fleet) } ?: workerTargets(service, fleet)
+            replicas: List<Replica>,
+        ): List<Target> = service.engine?.let { replicaTargets(it, replicas) } ?: workerTargets(service, fleet)
 
         private fun replicaTargets(
-            service: Service,
             engine: EngineProfile,
-            fleet: Fleet,
-        ) = fleet.openReplicas(service.name, engine.models).map {
-            Target(keyOf(it), it.head, it, engine.slots, it.model)
-        }
+            replicas: List<Replica>,
+        ) = replicas.map { Target(keyOf(it), it.head, it, engine.slots, it.model) }
 
         private fun workerTargets(
             service: Service,
