Start from a class archive, and hold requests while the configuration is read

Cause: after a loss of all processes a process took 0.7 s from its start to its first configuration, and refused callers in that time, most of whom had used their only retry on machines that were down.

The build runs the process once and archives its classes; a process that starts holds requests for at most 2 s until it has a configuration.

Requests now log the time to their first event and the longest pause.

--- a/core/src/main/kotlin/auburnhall/core/Address.kt
+++ b/core/src/main/kotlin/auburnhall/core/Address.kt
@@ -3,7 +3,7 @@
  */
 package auburnhall.core
 
-/** An IP address and a port, from 1 to 65535. */
+/** An IP address and a port, from 0 to 65535; at port 0 the system chooses one to listen at. */
 data class Address(
     val host: String,
     val port: Int,
@@ -17,7 +17,7 @@
         fun parse(text: String): Address? {
             val host = text.substringBeforeLast(':', "")
             val port = text.substringAfterLast(':', "").toIntOrNull()
-            return if (host.isEmpty() || port == null || port !in 1..MAX_PORT) null else Address(host, port)
+            return if (host.isEmpty() || port == null || port !in 0..MAX_PORT) null else Address(host, port)
         }
     }
 }
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -27,6 +27,7 @@
 import auburnhall.platform.PlatformCallerCodec
 import auburnhall.platform.PlatformWorkerCodec
 import auburnhall.platform.Readiness
+import auburnhall.platform.Samples
 import auburnhall.platform.SettingsFile
 import auburnhall.platform.WorkerCalls
 import auburnhall.replica.ReplicaEpoch
@@ -38,6 +39,10 @@
 import auburnhall.routing.TargetHealth
 import auburnhall.routing.TargetKey
 import auburnhall.routing.TargetTable
+import com.github.michaelbull.result.onSuccess
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
 import kotlin.random.Random
 import kotlin.system.exitProcess
 
@@ -107,6 +112,17 @@
         control.run { plane.start() }
     }
 
+    /** Runs the code of the first requests once, so that the build's class archive holds it. */
+    fun exercise() {
+        Samples.configuration().onSuccess { onState(it, Fleet(0, Samples.workers()), emptyMap()) }
+        metrics.onAnswered("sample", "served", 0)
+        metrics.scrape()
+        traffic.run {
+            val request = InboundRequest(HttpMethod.GET, "/", newHeaders(), ByteArray(0), clock.nowMs())
+            gateway.onRequest(request, SampleReply)
+        }
+    }
+
     /** Reads the settings again. */
     fun reload(trigger: String) {
         val read = file.read()
@@ -197,3 +213,27 @@
         const val FLUSH_MS = 100L
     }
 }
+
+/** Drops the answer to a sample request. */
+private object SampleReply : Reply {
+    override var onGone: (() -> Unit)? = null
+
+    override fun send(
+        status: Int,
+        headers: HttpHeaders,
+        body: ByteArray,
+    ) = Unit
+
+    override fun start(
+        status: Int,
+        headers: HttpHeaders,
+    ) = Unit
+
+    override fun write(content: ByteBuf) {
+        content.release()
+    }
+
+    override fun finish() = Unit
+
+    override fun abort() = Unit
+}
--- a/entry/src/main/kotlin/auburnhall/entry/Main.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Main.kt
@@ -19,6 +19,9 @@
     @Option(name = "--metrics-port", metaVar = "PORT", usage = "port of the metrics page, 1 to 65535")
     var metricsPort: Int = DEFAULT_METRICS_PORT
 
+    @Option(name = "--exit-after-ms", metaVar = "MS", usage = "end after this time; for the build's class archive")
+    var exitAfterMs: Long = 0
+
     private companion object {
         const val DEFAULT_METRICS_PORT = 9_464
     }
@@ -37,6 +40,11 @@
     Signal.handle(Signal("TERM")) { process.stop() }
     Signal.handle(Signal("HUP")) { process.reload("signal") }
     process.start()
+    if (options.exitAfterMs > 0) {
+        process.exercise()
+        Thread.sleep(options.exitAfterMs)
+        exitProcess(0)
+    }
     while (true) {
         Thread.sleep(RELOAD_POLL_MS)
         process.reload("file")
--- a/gateway/src/main/kotlin/auburnhall/gateway/Forwarding.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Forwarding.kt
@@ -39,6 +39,9 @@
     /** Whether the caller has the head of a stream. */
     private var streaming = false
     private var lastEventId: Long? = null
+    private var firstEventAt: Long? = null
+    private var lastWriteAt = 0L
+    private var longestPauseMs = 0L
 
     /** 0 is served first. */
     val priority: Int get() = accepted.customer?.priority ?: route.priority
@@ -130,6 +133,7 @@
         event: StreamEvent,
     ) {
         if (from !== attempt) return
+        notePause()
         val id = event.id
         val last = lastEventId
         if (id != null && last != null && id <= last) return
@@ -137,6 +141,12 @@
         reply.write(Unpooled.wrappedBuffer(event.bytes))
     }
 
+    private fun notePause() {
+        val now = parts.clock.nowMs()
+        if (firstEventAt == null) firstEventAt = now else longestPauseMs = maxOf(longestPauseMs, now - lastWriteAt)
+        lastWriteAt = now
+    }
+
     internal fun onStreamEnd(
         from: Attempt,
         remainder: ByteArray,
@@ -316,6 +326,8 @@
             "customer" to accepted.customer?.name,
             "targets" to sentTo.joinToString(",") { it.text },
             "took_ms" to took,
+            "first_event_ms" to firstEventAt?.let { it - receivedAt },
+            "longest_pause_ms" to longestPauseMs.takeIf { firstEventAt != null },
             "configuration" to accepted.configuration.version,
             *details,
         )
--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -14,6 +14,7 @@
     private val filters: FilterChain,
 ) : RequestHandler {
     private val waiting = WaitingRoom()
+    private val starting = StartingRoom(parts.clock, parts.scheduler, ::decide)
     private val streams = LinkedHashSet<Forwarding>()
 
     /** Requests that wait for a place. */
@@ -22,6 +23,14 @@
     override fun onRequest(
         request: InboundRequest,
         reply: Reply,
+    ) {
+        if (parts.state.configuration == null && starting.hold(request, reply)) return
+        decide(request, reply)
+    }
+
+    private fun decide(
+        request: InboundRequest,
+        reply: Reply,
     ) {
         val terms = parts.callerCodec.read(request.headers)
         when (val verdict = filters.decide(request, terms)) {
@@ -35,6 +44,7 @@
         parts.state = state
         parts.health.retain(state.targets::isPresent)
         parts.silence.retain(state.targets::isPresent)
+        starting.release()
         waiting.retry()
     }
 
--- /dev/null
+++ b/gateway/src/main/kotlin/auburnhall/gateway/StartingRoom.kt
@@ -0,0 +1,58 @@
+/*
+ * Requests that arrive while a process starts. After a loss of all processes callers reach them before they have read
+ * the configuration, which takes a moment only; refusing them would use up the callers' last try.
+ */
+package auburnhall.gateway
+
+import auburnhall.core.Clock
+import auburnhall.core.Scheduler
+import auburnhall.http.InboundRequest
+import auburnhall.http.Reply
+
+/** Holds requests until the first configuration is known, or [HOLD_MS] have passed since the start. */
+internal class StartingRoom(
+    private val clock: Clock,
+    scheduler: Scheduler,
+    private val decide: (InboundRequest, Reply) -> Unit,
+) {
+    private val until = clock.nowMs() + HOLD_MS
+    private val held = ArrayDeque<Held>()
+
+    init {
+        scheduler.after(HOLD_MS) { release() }
+    }
+
+    /** Holds [request]; false once the time is over or too many are held. */
+    fun hold(
+        request: InboundRequest,
+        reply: Reply,
+    ): Boolean {
+        if (clock.nowMs() >= until || held.size >= MOST_HELD) return false
+        val entry = Held(request, reply)
+        reply.onGone = { held.remove(entry) }
+        held.addLast(entry)
+        return true
+    }
+
+    /** Decides on all that are held. */
+    fun release() {
+        while (true) {
+            val next = held.removeFirstOrNull() ?: return
+            next.reply.onGone = null
+            decide(next.request, next.reply)
+        }
+    }
+
+    private class Held(
+        val request: InboundRequest,
+        val reply: Reply,
+    )
+
+    private companion object {
+        /** Several times what a process needs to read the configuration. */
+        const val HOLD_MS = 2_000L
+
+        /** Bounds the memory of requests that are held. */
+        const val MOST_HELD = 500
+    }
+}
