Choose targets by unread prompts too, and tell the load every 60 ms

Cause: a tenth of the streams of the large model paused for longer than 250 ms, the longest pass of a replica that reads as many prompts as it can. Twenty processes that knew each other's load of 200 ms ago sent their next requests to the same replica. Ruled out: the number of replicas (7 of 18 places taken), suspicion (2 % of requests were sent again).

A prompt that is not read yet counts as one request for each 500 tokens; load is told within 60 ms of a change. Besides, targets with an idle connection are preferred by 0.7 requests, and followers fetch changes of the store every 400 ms.

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -59,7 +59,7 @@
 ) : MirrorListener,
     LeadershipListener,
     ReplicaListener {
-    private val mirror = StoreMirror("", store, clock, scheduler, random, events, this)
+    private val mirror = StoreMirror("", store, clock, scheduler, random, events, this, ::batchMs)
     private val feed = FleetFeed(clock, events, ::storeWasAway)
     private val registration = Registration(settings.processName, settings.host, store, scheduler, events)
     private val leadership =
@@ -142,6 +142,8 @@
         controllers.clear()
     }
 
+    private fun batchMs() = if (leadership.isLeading) CONTROLLER_BATCH_MS else FOLLOWER_BATCH_MS
+
     private fun storeWasAway(): Boolean {
         val regained = mirror.regainedAt
         return mirror.disconnected || (regained != null && clock.nowMs() - regained < LAPSE_MS)
@@ -235,6 +237,12 @@
         const val TICK_MS = 100L
         const val CONTROL_SOON_MS = 5L
 
+        /** The controller waits for what workers report. */
+        const val CONTROLLER_BATCH_MS = 100L
+
+        /** A small part of the time within which draining workers and new configurations must be known. */
+        const val FOLLOWER_BATCH_MS = 400L
+
         /** Epochs of one term; more than any term uses. */
         const val EPOCHS_PER_REVISION = 100_000L
 
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -81,7 +81,7 @@
         client = client,
         callerCodec = PlatformCallerCodec,
         workerCodec = PlatformWorkerCodec,
-        router = Router(load, health, settings.dataCentre, random),
+        router = Router(load, health, settings.dataCentre, random, client::hasIdle),
         load = load,
         health = health,
         silence = silence,
--- a/entry/src/main/kotlin/auburnhall/entry/PeerNews.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerNews.kt
@@ -10,6 +10,7 @@
 import auburnhall.routing.SilenceMonitor
 import auburnhall.routing.TargetHealth
 import auburnhall.routing.TargetKey
+import auburnhall.routing.TargetLoad
 import auburnhall.routing.TargetTable
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.Unpooled
@@ -32,9 +33,10 @@
 @Serializable
 data class PeerMessage(
     @ProtoNumber(1) val process: String,
-    /** Targets by hash, each with the requests in progress there at the same index of [counts]. */
+    /** Targets by hash, each with the work there at the same index of [requests] and [unreadTokens]. */
     @ProtoNumber(2) val targets: List<Int> = emptyList(),
-    @ProtoNumber(3) val counts: List<Int> = emptyList(),
+    @ProtoNumber(3) val requests: List<Int> = emptyList(),
+    @ProtoNumber(6) val unreadTokens: List<Int> = emptyList(),
     /** The replica that [finding] is about; null in a report of load. */
     @ProtoNumber(4) val replica: String? = null,
     @ProtoNumber(5) val finding: Finding = Finding.SUSPECT,
@@ -66,7 +68,7 @@
 ) {
     private var peers: List<InetSocketAddress> = emptyList()
     private var channel: Channel? = null
-    private var lastSent: Map<TargetKey, Int> = emptyMap()
+    private var lastSent: Map<TargetKey, TargetLoad> = emptyMap()
     private var unchanged = 0
 
     /** Number of processes, this one included. */
@@ -103,7 +105,15 @@
         unchanged = if (now == lastSent) unchanged + 1 else 0
         if (unchanged == 0 || (now.isNotEmpty() && unchanged % REPEAT_EVERY == 0)) {
             lastSent = now
-            send(PeerMessage(process, now.keys.map { it.text.hashCode() }, now.values.toList()))
+            val loads = now.values
+            send(
+                PeerMessage(
+                    process,
+                    now.keys.map { it.text.hashCode() },
+                    loads.map { it.requests },
+                    loads.map { it.unreadTokens },
+                ),
+            )
         }
         scheduler.after(periodMs()) { tell() }
     }
@@ -122,12 +132,18 @@
     private fun onMessage(message: PeerMessage) {
         val replica = message.replica
         if (replica == null) {
-            load.onTold(message.process, message.targets.zip(message.counts).toMap())
+            load.onTold(message.process, loadsOf(message))
         } else {
             onFinding(TargetKey(replica), message.finding)
         }
     }
 
+    private fun loadsOf(message: PeerMessage): Map<Int, TargetLoad> =
+        message.targets.indices.associate { index ->
+            val requests = message.requests.getOrElse(index) { 0 }
+            message.targets[index] to TargetLoad(requests, message.unreadTokens.getOrElse(index) { 0 })
+        }
+
     private fun onFinding(
         key: TargetKey,
         finding: Finding,
@@ -164,10 +180,10 @@
     }
 
     private companion object {
-        const val MIN_PERIOD_MS = 200L
+        const val MIN_PERIOD_MS = 60L
 
         /** Keeps a process with some 200 bytes of news below 8 KB/s whatever the number of processes. */
-        const val PERIOD_MS_PER_PEER = 10L
-        const val REPEAT_EVERY = 4
+        const val PERIOD_MS_PER_PEER = 3L
+        const val REPEAT_EVERY = 8
     }
 }
--- a/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
@@ -40,6 +40,8 @@
     private val random: Random,
     private val events: EventListener,
     private val listener: MirrorListener,
+    /** Time, in milliseconds, within which changes are collected to be fetched by one call. */
+    private val batchMs: () -> Long,
 ) {
     private val items = HashMap<String, StoreItem>()
     private var revision = 0L
@@ -105,7 +107,7 @@
                     batch.changes.forEach(::apply)
                     revision = maxOf(revision, batch.at)
                     if (batch.changes.isNotEmpty()) listener.onBatch(revision)
-                    scheduler.after(if (batch.changes.isEmpty()) 0 else BATCH_MS) { watch() }
+                    scheduler.after(if (batch.changes.isEmpty()) 0 else batchMs()) { watch() }
                 }.onFailure(::onWatchError)
         }
     }
@@ -163,8 +165,6 @@
         /** A watch returns at least this often, in milliseconds. */
         const val WATCH_MS = 10_000L
 
-        /** Changes within this time, in milliseconds, are fetched by one call. */
-        const val BATCH_MS = 200L
         const val FIRST_PAUSE_MS = 50L
         const val MAX_DOUBLINGS = 3
     }
--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -36,6 +36,7 @@
         private set
     private var call: OutboundCall? = null
     private var released = false
+    private var unreadTokens = accepted.terms.promptTokens
     private var answer: WorkerAnswer? = null
     private var headers: HttpHeaders? = null
     private val body = ByteArrayOutputStream()
@@ -43,6 +44,7 @@
     private var relaying = false
 
     fun send() {
+        parts.load.begin(target.key, unreadTokens)
         val terms = WorkerTerms(
             timeLeftMs = accepted.deadline - parts.clock.nowMs(),
             workerId = target.worker.id,
@@ -74,7 +76,7 @@
     fun release() {
         if (released) return
         released = true
-        parts.load.end(target.key)
+        parts.load.end(target.key, unreadTokens)
     }
 
     override fun onHead(
@@ -104,12 +106,19 @@
     private fun relay(bytes: ByteArray) {
         val whole = events.add(bytes)
         if (whole.isEmpty()) return
-        hasEvents = true
+        onFirstEvent()
         lastEventAt = parts.clock.nowMs()
         parts.silence.onHeard(target.key)
         whole.forEach { owner.onEvent(this, it) }
     }
 
+    private fun onFirstEvent() {
+        if (hasEvents) return
+        hasEvents = true
+        if (!released) parts.load.onRead(target.key, unreadTokens)
+        unreadTokens = 0
+    }
+
     override fun onEnd() {
         val read = checkNotNull(answer)
         val success = read.status in SUCCESS
--- a/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
@@ -15,6 +15,8 @@
     val apiKey: String?,
     /** The model asked for; null for plain services. */
     val model: String?,
+    /** Tokens of the prompt; 0 when not stated. */
+    val promptTokens: Int,
     /** The last event that the caller has of a stream that broke off. */
     val lastEventId: String?,
 )
--- a/gateway/src/main/kotlin/auburnhall/gateway/Forwarding.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Forwarding.kt
@@ -107,7 +107,6 @@
         load: Int,
     ) {
         sentTo.add(target.key)
-        parts.load.begin(target.key)
         val started = Attempt(parts, accepted, target, resumeAfter(), this)
         attempt = started
         if (target.replica != null) streams.add(this)
--- a/http/src/main/kotlin/auburnhall/http/HttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpClient.kt
@@ -44,6 +44,9 @@
         return connect(peer, request, options, listener)
     }
 
+    /** Whether a connection to [peer] rests. */
+    fun hasIdle(peer: Address): Boolean = idle[peer]?.isNotEmpty() == true
+
     /** Closes idle connections to [peer]; with null, to all peers. */
     fun closeIdle(peer: Address?) {
         val doomed = if (peer == null) idle.values.flatten() else idle[peer].orEmpty().toList()
--- a/routing/src/main/kotlin/auburnhall/routing/Router.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Router.kt
@@ -4,6 +4,7 @@
  */
 package auburnhall.routing
 
+import auburnhall.core.Address
 import kotlin.random.Random
 
 /** What a request needs of its target. */
@@ -39,6 +40,7 @@
     private val health: TargetHealth,
     private val dataCentre: String,
     private val random: Random,
+    private val hasIdleConnection: (Address) -> Boolean,
 ) {
     /** Chooses among [targets], which all can serve [demand]. */
     fun choose(
@@ -49,14 +51,14 @@
         val healthy = fresh.filter { !health.isAvoided(it.key) }
         val pool = healthy.ifEmpty { fresh.filter { !health.isSuspect(it.key) } }.ifEmpty { fresh }
         val best = pool.minByOrNull { score(it) } ?: return Choice.None
-        val total = load.total(best.key)
+        val total = load.total(best.key).requests
         return if (total < best.slots) Choice.Send(best, total) else Choice.Full(best, total)
     }
 
     private fun score(target: Target): Double {
-        val used = load.total(target.key).toDouble() / target.slots
-        val distance = if (target.worker.dataCentre == dataCentre) 0.0 else OTHER_DATA_CENTRE / target.slots
-        return used + distance + random.nextDouble() * TIE_BREAK / target.slots
+        val distance = if (target.worker.dataCentre == dataCentre) 0.0 else OTHER_DATA_CENTRE
+        val idle = if (hasIdleConnection(target.worker.address)) 0.0 else NEW_CONNECTION
+        return (load.total(target.key).weight + distance + idle + random.nextDouble() * TIE_BREAK) / target.slots
     }
 
     private companion object {
@@ -65,5 +67,8 @@
 
         /** Keeps processes from all choosing the same one of equal targets. */
         const val TIE_BREAK = 0.9
+
+        /** Requests by which a target that needs a new connection may be less loaded and still not be preferred. */
+        const val NEW_CONNECTION = 0.7
     }
 }
