Serve those first that can still be on time when replicas are full

Workers whose replica was taken apart were given to the other model, and their weights were lost.

A replica gets no more than its slots; what waits is ordered in the process, those that can be on time first, for at most 1.2 s, and is refused at once when its turn would come later. A worker keeps the model it held; spares of the other model help one that is fuller than 60 %.

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -97,6 +97,11 @@
         controlSoon()
     }
 
+    /** The traffic thread has counted which part of the slots of each model is taken, by service and model. */
+    fun onPressure(counted: Map<String, Map<String, Double>>) {
+        controllers.forEach { (service, controller) -> controller.pressure = counted[service].orEmpty() }
+    }
+
     override fun onSound(key: ReplicaEpoch) = listener.onSound(key)
 
     override fun onBreaking(key: ReplicaEpoch) = listener.onBreaking(key)
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -97,6 +97,8 @@
     private val plane: ControlPlane = controlPlane()
     private val shutdown = Shutdown(clock, traffic, callers, log, { settings.bounds.graceMs }, ::exit)
 
+    private var pressureAt = 0L
+
     /** Starts serving. */
     fun start() {
         log.start()
@@ -198,6 +200,11 @@
 
     private fun tick() {
         gateway.tick()
+        if (plane.isLeading && clock.nowMs() - pressureAt >= PRESSURE_MS) {
+            pressureAt = clock.nowMs()
+            val counted = gateway.pressure()
+            control.run { plane.onPressure(counted) }
+        }
         traffic.after(Gateway.TICK_MS) { tick() }
     }
 
@@ -211,6 +218,9 @@
         const val NOT_FOUND = 404
         const val METRICS_PATH = "/metrics"
         const val FLUSH_MS = 100L
+
+        /** Time between counts of the load by model. */
+        const val PRESSURE_MS = 500L
     }
 }
 
--- a/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
@@ -40,8 +40,11 @@
     private val ttlMs = maxOf(TTL_MS, minLeaseMs)
     private var lease: StoreLease? = null
     private var attempting = false
+    @Volatile
     private var leading = false
     private var stopped = false
+
+    @Volatile
     private var validUntil = 0L
     private var electedAt = 0L
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/Forwarding.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Forwarding.kt
@@ -9,6 +9,7 @@
 import auburnhall.http.CallStep
 import auburnhall.http.Reply
 import auburnhall.routing.Admission
+import auburnhall.routing.AdmissionPolicy
 import auburnhall.routing.Choice
 import auburnhall.routing.Demand
 import auburnhall.routing.Silence
@@ -56,21 +57,33 @@
         dispatch()
     }
 
-    /** Sends the request to a target, lets it wait, or refuses it. */
-    fun dispatch() {
-        if (ended) return
+    /** Targets that can serve the request. */
+    val pool = Pool(accepted.service, accepted.terms.model)
+
+    /** Whether a place that it gets [now] lets its answer be on time. */
+    fun canBeOnTime(now: Long): Boolean = now - receivedAt + FIRST_EVENT_MS <= route.targetLatencyMs
+
+    /** Whether it has waited for as long as any request waits. */
+    fun waitedLongest(now: Long): Boolean = now - receivedAt >= AdmissionPolicy.LONGEST_WAIT_MS
+
+    /** Sends the request to a target, lets it wait, or refuses it; returns whether it does not wait. */
+    fun dispatch(): Boolean {
+        if (ended) return true
         val targets = parts.state.targets.of(accepted.service, accepted.terms.model)
         val choice = parts.router.choose(Demand(accepted.service, accepted.terms.model, sentTo + unreachable), targets)
-        val facts = Waiting(route.kind, parts.clock.nowMs() - receivedAt, route.targetLatencyMs, waiting.size)
+        val waitedMs = parts.clock.nowMs() - receivedAt
+        val facts = Waiting(waitedMs, waiting.waitingIn(pool), waiting.sentLastSecond(pool))
         if (choice is Choice.Full && mayHaveRun) {
             send(choice.target, choice.load)
-            return
+            return true
         }
-        when (val admission = parts.admission.decide(choice, facts)) {
+        val admission = parts.admission.decide(choice, facts)
+        when (admission) {
             is Admission.Send -> send(admission.target, admission.load)
             is Admission.Wait -> waiting.add(this)
             is Admission.Refuse -> onNoTarget(admission)
         }
+        return admission !is Admission.Wait
     }
 
     /** Moves a stream away from a replica that has fallen silent. */
@@ -107,6 +120,7 @@
         load: Int,
     ) {
         sentTo.add(target.key)
+        waiting.onSent(pool)
         val started = Attempt(parts, accepted, target, resumeAfter(), this)
         attempt = started
         if (target.replica != null) streams.add(this)
@@ -335,6 +349,9 @@
 
     internal companion object {
         const val OK = 200
+
+        /** Time from a free place to the first event of a short prompt, in milliseconds. */
+        const val FIRST_EVENT_MS = 130L
         const val SERVER_ERROR = 500
 
         /** About the time in which another target is found or a full one has room. */
--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -13,7 +13,7 @@
     private val parts: GatewayParts,
     private val filters: FilterChain,
 ) : RequestHandler {
-    private val waiting = WaitingRoom()
+    private val waiting = WaitingRoom(parts.clock)
     private val starting = StartingRoom(parts.clock, parts.scheduler, ::decide)
     private val streams = LinkedHashSet<Forwarding>()
 
@@ -54,6 +54,17 @@
         streams.toList().forEach { it.checkSilence() }
     }
 
+    /** Part of the slots that is taken, by service and model. */
+    fun pressure(): Map<String, Map<String, Double>> {
+        val services = parts.state.configuration?.services?.values.orEmpty().filter { it.engine != null }
+        return services.associate { service ->
+            val byModel = parts.state.targets.of(service.name).groupBy { it.model.orEmpty() }
+            service.name to byModel.mapValues { (_, targets) ->
+                targets.sumOf { parts.load.total(it.key).requests }.toDouble() / targets.sumOf { it.slots }
+            }
+        }
+    }
+
     private fun forward(
         accepted: AcceptedRequest,
         reply: Reply,
@@ -83,28 +94,3 @@
         const val TICK_MS = 40L
     }
 }
-
-/** Requests that wait until a target has a place, in the order in which they are served. */
-class WaitingRoom {
-    private val requests = ArrayList<Forwarding>()
-
-    val size: Int get() = requests.size
-
-    /** Lets [request] wait. */
-    fun add(request: Forwarding) {
-        requests.add(request)
-    }
-
-    /** Takes [request] out. */
-    fun remove(request: Forwarding) {
-        requests.remove(request)
-    }
-
-    /** Offers the places there are to those who wait: the most urgent first, among equals the oldest. */
-    fun retry() {
-        if (requests.isEmpty()) return
-        val ordered = requests.sortedWith(compareBy({ it.priority }, { it.receivedAt }))
-        requests.clear()
-        ordered.forEach { it.dispatch() }
-    }
-}
--- a/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
@@ -31,19 +31,29 @@
     val members: List<Worker>,
 )
 
+/** What the controller knows beside the list. */
+interface PlacementFacts {
+    /** The model that [worker] was last ordered to hold since its start; null when not known. */
+    fun lastModel(worker: Worker): String?
+
+    /** Part of the slots of the model's replicas that is taken, from 0; null when not known. */
+    fun pressure(model: String): Double?
+}
+
 /** Places replicas one at a time until the plan is met or no workers are left. */
 class PlacementDraft(
     private val models: List<Model>,
     sizes: Map<String, Int>,
     serving: Map<Pair<String, String>, Int>,
     private val free: FreeWorkers,
+    private val facts: PlacementFacts,
 ) {
     private val plan = Layout.plan(sizes, models)
     private val counts = serving.toMutableMap()
 
     /** The next replica to form; null when there is none. */
     fun next(): Placement? {
-        val order = models.sortedWith(compareBy({ totalOf(it) / Layout.demand(it) }, { -it.size }))
+        val order = models.sortedWith(compareBy({ -(facts.pressure(it.name) ?: 0.0) }, { totalOf(it) / Layout.demand(it) }))
         for (model in order) {
             val placement = free.domains.sorted().firstNotNullOfOrNull { place(model, it) } ?: continue
             free.take(placement.members)
@@ -60,7 +70,7 @@
         for (domain in free.domains.sorted()) {
             val held = free.of(domain).mapNotNull { heldModel(it) }.groupingBy { it }.eachCount().toMutableMap()
             for (worker in free.of(domain).filter { !holdsAny(it) }) {
-                val model = spareModel(domain, held) ?: continue
+                val model = stagedModel(worker) ?: spareModel(domain, held) ?: continue
                 val staged = model.name in worker.stagedModels
                 if (!staged && room <= 0) continue
                 if (!staged) room--
@@ -72,10 +82,12 @@
         return placements
     }
 
-    /** Whether so few replicas of [model] are left that spares of other models are used for it. */
+    /** Whether replicas of [model] are so few, or so full, that spares of other models are used for it. */
     private fun isShort(model: Model): Boolean {
         val planned = plan.values.sumOf { it[model.name] ?: 0 }
-        return totalOf(model) < planned * SHORT_SHARE
+        val others = (models - model).maxOfOrNull { facts.pressure(it.name) ?: 0.0 } ?: 0.0
+        val pressed = (facts.pressure(model.name) ?: 0.0) > maxOf(others, PRESSED)
+        return pressed || totalOf(model) < planned * SHORT_SHARE
     }
 
     private fun totalOf(model: Model) = counts.filterKeys { it.second == model.name }.values.sum()
@@ -105,8 +117,13 @@
         return here.maxWithOrNull(compareBy({ members(it) / (spares(it) + 1) }, { -spares(it) }))
     }
 
+    /** The model that is on the host already, so that nothing has to be fetched. */
+    private fun stagedModel(worker: Worker): Model? = models.firstOrNull { it.name in worker.stagedModels }
+
     private fun heldModel(worker: Worker): String? =
-        worker.membership?.replica?.let { ReplicaName.modelOf(it) } ?: worker.loadedModels.firstOrNull()
+        worker.membership?.replica?.let { ReplicaName.modelOf(it) }
+            ?: facts.lastModel(worker)
+            ?: worker.loadedModels.firstOrNull()
 
     private fun holdsAny(worker: Worker) = heldModel(worker) != null
 
@@ -126,6 +143,9 @@
     private companion object {
         /** Part of the planned replicas below which a model is short. */
         const val SHORT_SHARE = 0.7
+
+        /** Part of the slots beyond which a model is full for its latency. */
+        const val PRESSED = 0.6
     }
 
     /** How soon a worker serves a model, the soonest first. */
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
@@ -65,6 +65,15 @@
         suspects.add(key)
     }
 
+    /** Parts of the slots of each model's replicas that are taken, as last counted. */
+    var pressure: Map<String, Double> = emptyMap()
+
+    private val facts = object : PlacementFacts {
+        override fun lastModel(worker: Worker): String? = lastJoined[worker.start]?.let { ReplicaName.modelOf(it.replica) }
+
+        override fun pressure(model: String): Double? = pressure[model]
+    }
+
     /** What came of [order]. */
     fun onResult(
         order: Order,
@@ -245,7 +254,7 @@
         val free = FreeWorkers(freeWorkers(workers))
         val serving = servingCounts(workers)
         val sizes = workers.filter { usable(it) }.groupingBy { it.fabricDomain.orEmpty() }.eachCount()
-        val draft = PlacementDraft(engine.models, sizes, serving, free)
+        val draft = PlacementDraft(engine.models, sizes, serving, free, facts)
         val before = forming.size
         while (true) {
             val placed = draft.next() ?: break
--- a/routing/src/main/kotlin/auburnhall/routing/Admission.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Admission.kt
@@ -1,20 +1,19 @@
 /*
  * When a request is sent, waits, or is refused because its targets are full. Answers bursts and the loss of replicas: a
- * short wait bridges a moment, a longer one would only make every later request late as well.
+ * request waits as long as its caller is likely to get something out of it, and is refused at once when so many wait
+ * that its turn would come too late. Those that can still be on time go first, so that a backlog does not make every
+ * later request late as well.
  */
 package auburnhall.routing
 
-import auburnhall.core.RequestKind
-
 /** What is known of a request when its targets are looked at. */
 data class Waiting(
-    val kind: RequestKind,
     /** Time, in milliseconds, since it was received. */
     val waitedMs: Long,
-    /** Time, in milliseconds, within which its answer is on time. */
-    val targetLatencyMs: Long,
-    /** Requests that wait in this process for the same targets. */
+    /** Requests that wait in this process for the same targets and go first. */
     val ahead: Int,
+    /** Requests for the same targets that were sent by this process in the last second. */
+    val sentLastSecond: Int,
 )
 
 /** What to do with a request. */
@@ -54,11 +53,11 @@
         choice: Choice.Full,
         waiting: Waiting,
     ): Admission {
-        val limit = choice.target.slots * QUEUE_FACTOR
-        val patience = (waiting.targetLatencyMs * WAIT_SHARE).toLong()
+        val queued = choice.target.slots * (if (choice.target.replica == null) PLAIN_QUEUE else REPLICA_QUEUE)
+        val expectedMs = waiting.ahead * MS_PER_SECOND / (waiting.sentLastSecond + 1)
         return when {
-            choice.load < limit -> Admission.Send(choice.target, choice.load)
-            waiting.waitedMs < patience -> Admission.Wait
+            choice.load < queued -> Admission.Send(choice.target, choice.load)
+            waiting.waitedMs + expectedMs < LONGEST_WAIT_MS -> Admission.Wait
             else -> refuse("targets full", FULL_RETRY_MS)
         }
     }
@@ -68,17 +67,21 @@
         baseMs: Long,
     ) = Admission.Refuse(reason, baseMs + (baseMs * spread()).toLong())
 
-    private companion object {
-        /** Requests at a target, as a multiple of its slots, so that a place is refilled without a round trip. */
-        const val QUEUE_FACTOR = 1.3
+    companion object {
+        /** Longest wait for a place, in milliseconds; callers of streams leave after two seconds without an event. */
+        const val LONGEST_WAIT_MS = 1_200L
+
+        /** Requests at a replica, as a multiple of its slots: more would wait there, out of our order. */
+        private const val REPLICA_QUEUE = 1.05
 
-        /** Part of the target latency that a request waits for a place. */
-        const val WAIT_SHARE = 0.5
+        /** As above for plain services, whose short requests leave a place idle while the next is on its way. */
+        private const val PLAIN_QUEUE = 1.5
 
         /** About the time in which a replica is formed anew. */
-        const val NO_TARGET_RETRY_MS = 700L
+        private const val NO_TARGET_RETRY_MS = 700L
 
-        /** About the time in which a tenth of the streams of a full replica end. */
-        const val FULL_RETRY_MS = 400L
+        /** About the time in which half of the streams of a full replica end. */
+        private const val FULL_RETRY_MS = 700L
+        private const val MS_PER_SECOND = 1_000L
     }
 }
