Replace slow members, repeat only failures of failing workers, keep survivors together

Cause: a replica runs at the pace of its slowest member, and nothing moved it; a plain worker's failure came back from the next worker in all but two of 39 repeats, so it belongs to the request; survivors of the large model were used up for the small one.

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -246,7 +246,7 @@
         const val CONTROLLER_BATCH_MS = 100L
 
         /** A small part of the time within which draining workers and new configurations must be known. */
-        const val FOLLOWER_BATCH_MS = 400L
+        const val FOLLOWER_BATCH_MS = 600L
 
         /** Epochs of one term; more than any term uses. */
         const val EPOCHS_PER_REVISION = 100_000L
--- a/gateway/src/main/kotlin/auburnhall/gateway/Forwarding.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Forwarding.kt
@@ -178,9 +178,10 @@
         body: ByteArray,
     ) {
         if (from !== attempt) return
-        if (answer.status < SERVER_ERROR) parts.health.onSuccess(from.target.key)
         val failed = answer.status >= SERVER_ERROR
-        if (failed && mayRepeat() && !streaming && retryFrom(from, "worker_${answer.status}")) return
+        parts.health.onAnswer(from.target.key, failed)
+        val another = failed && parts.health.failsOften(from.target.key)
+        if (another && mayRepeat() && !streaming && retryFrom(from, "worker_${answer.status}")) return
         if (streaming) {
             breakOff("resume refused with ${answer.status}", from)
             return
--- a/replica/src/main/kotlin/auburnhall/replica/Losses.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Losses.kt
@@ -23,6 +23,7 @@
     private val missed = HashMap<WorkerStart, Int>()
     private val lost = HashMap<WorkerStart, Long>()
     private val askedAt = HashMap<WorkerStart, Long>()
+    private val slow = HashMap<WorkerStart, Long>()
     private val probing = HashSet<WorkerStart>()
 
     /** Whether [worker] is taken for lost. */
@@ -31,6 +32,17 @@
     /** Whether [worker] may be probed now; then a probe is on its way until [onAnswer] or [onMissed]. */
     fun beginProbe(worker: Worker): Boolean = probing.add(worker.start)
 
+    /** [worker] answered that it works [pace] times slower than usual. */
+    fun onPace(
+        worker: Worker,
+        pace: Double,
+    ) {
+        if (pace >= SLOW_PACE) slow[worker.start] = clock.nowMs() else slow.remove(worker.start)
+    }
+
+    /** Whether [worker] is so slow that its replica is better off without it. */
+    fun isSlow(worker: Worker): Boolean = worker.start in slow
+
     /** [worker] answered. */
     fun onAnswer(worker: Worker) {
         probing.remove(worker.start)
@@ -57,12 +69,10 @@
         return true
     }
 
-    /** Lost workers of [fleet] that are worth another probe. */
+    /** Lost and slow workers of [fleet] that are worth another probe. */
     fun toRecheck(fleet: Fleet): List<Worker> {
         val now = clock.nowMs()
-        val due = fleet.workers.values.filter { worker -> lost[worker.start]?.let { now - it >= RECHECK_MS } == true }
-        due.forEach { lost[it.start] = now }
-        return due
+        return fleet.workers.values.filter { isDue(lost, it, now) or isDue(slow, it, now) }
     }
 
     /** Forgets starts that are neither listed nor [unlisted] members of replicas that take requests. */
@@ -73,14 +83,28 @@
         val listed = (fleet.workers.values + unlisted).mapTo(HashSet()) { it.start }
         missed.keys.retainAll(listed)
         lost.keys.retainAll(listed)
+        slow.keys.retainAll(listed)
         probing.retainAll(listed)
         askedAt.keys.retainAll(listed)
     }
 
+    private fun isDue(
+        since: HashMap<WorkerStart, Long>,
+        worker: Worker,
+        now: Long,
+    ): Boolean {
+        val due = since[worker.start]?.let { now - it >= RECHECK_MS } == true
+        if (due) since[worker.start] = now
+        return due
+    }
+
     private companion object {
         /** Unanswered probes in a row, so that a lost packet is not taken for a lost worker. */
         const val MISSED_LIMIT = 2
 
+        /** A replica runs at the pace of its slowest member; a new one is formed within about a second. */
+        const val SLOW_PACE = 2.0
+
         /** Time, in milliseconds, between probes of a lost worker that is still listed. */
         const val RECHECK_MS = 1_000L
     }
--- a/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
@@ -14,7 +14,8 @@
 ) {
     private val byDomain = workers.groupBy { it.fabricDomain.orEmpty() }.mapValues { it.value.toMutableList() }.toMutableMap()
 
-    val domains: Set<String> get() = byDomain.keys
+    /** Domains with a free worker. */
+    val domains: Set<String> get() = byDomain.filterValues { it.isNotEmpty() }.keys
 
     /** The free workers of [domain]. */
     fun of(domain: String): List<Worker> = byDomain[domain].orEmpty()
@@ -90,6 +91,15 @@
         return pressed || totalOf(model) < planned * SHORT_SHARE
     }
 
+    /** Whether [domain] holds all the replicas that it is to hold of the model of [worker]. */
+    private fun isSpare(
+        worker: Worker,
+        domain: String,
+    ): Boolean {
+        val held = heldModel(worker) ?: return true
+        return (counts[domain to held] ?: 0) >= (plan[domain]?.get(held) ?: 0)
+    }
+
     private fun totalOf(model: Model) = counts.filterKeys { it.second == model.name }.values.sum()
 
     private fun place(
@@ -99,7 +109,8 @@
         val wanted = plan[domain]?.get(model.name) ?: 0
         val workers = free.of(domain)
         if ((counts[domain to model.name] ?: 0) >= wanted) return null
-        val usable = workers.filter { warmth(it, model) != Warmth.OTHER || isShort(model) }
+        val short = isShort(model)
+        val usable = workers.filter { warmth(it, model) != Warmth.OTHER || (short && isSpare(it, domain)) }
         if (usable.size < model.size) return null
         val ranked = usable.sortedWith(compareBy({ warmth(it, model) }, { it.id }))
         return Placement(model, ranked.take(model.size))
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
@@ -56,6 +56,7 @@
     private val suspects = LinkedHashSet<ReplicaEpoch>()
     private val announcedAt = HashMap<ReplicaEpoch, Long>()
     private val unheard = LinkedHashMap<ReplicaEpoch, MutableSet<WorkerStart>>()
+    private var spareDomains: Set<String> = emptySet()
     private var listedWorkers = 0
     private var listedSince = startedAt
     private var settledOnce = false
@@ -189,9 +190,17 @@
 
     private fun causeToBreak(replica: Replica): String? {
         val lost = replica.members.firstOrNull { losses.isLost(it) }
-        return lost?.let { "member ${it.id} lost" }
+        val slow = replica.members.firstOrNull { losses.isSlow(it) }
+        return when {
+            lost != null -> "member ${lost.id} lost"
+            slow != null && hasSpare(slow) -> "member ${slow.id} slow"
+            else -> null
+        }
     }
 
+    private fun hasSpare(member: Worker) = spareDomains.contains(member.fabricDomain)
+
+
     private fun advance(workers: List<Worker>): List<Order> {
         val now = clock.nowMs()
         val listed = workers.mapTo(HashSet()) { it.start }
@@ -260,6 +269,7 @@
             val placed = draft.next() ?: break
             begin(placed.model, placed.members, spare = false)
         }
+        spareDomains = free.domains
         draft.spares(loadRoom(engine)).forEach { begin(it.model, it.members, spare = true) }
         val fresh = forming.values.drop(before)
         return fresh.flatMap { joinOrders(it, clock.nowMs()) }
@@ -295,7 +305,7 @@
     private fun replicasToLeave(worker: Worker): Set<ReplicaEpoch> =
         setOfNotNull(worker.membership?.key, lastJoined[worker.start])
 
-    private fun usable(worker: Worker) = !worker.draining && !losses.isLost(worker)
+    private fun usable(worker: Worker) = !worker.draining && !losses.isLost(worker) && !losses.isSlow(worker)
 
     private fun servingCounts(workers: List<Worker>): Map<Pair<String, String>, Int> {
         val counts = HashMap<Pair<String, String>, Int>()
@@ -340,6 +350,7 @@
         report: OrderResult.Report,
     ) {
         losses.onAnswer(worker)
+        losses.onPace(worker, report.pace)
         noteHeard(worker)
         forming.values.forEach { if (worker.id in it.ids) it.onMembership(worker, report.membership) }
     }
--- a/routing/src/main/kotlin/auburnhall/routing/TargetHealth.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/TargetHealth.kt
@@ -27,6 +27,20 @@
         }
     }
 
+    /** A request to [key] was answered; [error] where the answer is a failure of the worker's own. */
+    fun onAnswer(
+        key: TargetKey,
+        error: Boolean,
+    ) {
+        val record = records.getOrPut(key) { Record() }
+        record.errorShare += ((if (error) 1.0 else 0.0) - record.errorShare) * ERROR_WEIGHT
+        if (error && failsOften(key)) record.avoidUntil = clock.nowMs() + OFTEN_PAUSE_MS
+        if (!error) onSuccess(key)
+    }
+
+    /** Whether [key] fails so many requests that the failure is likely its own and not the request's. */
+    fun failsOften(key: TargetKey): Boolean = (records[key]?.errorShare ?: 0.0) >= OFTEN_SHARE
+
     /** [key] has fallen silent, or another process says so. */
     fun suspect(key: TargetKey) {
         records.getOrPut(key) { Record() }.suspectUntil = clock.nowMs() + SUSPECT_MS
@@ -62,11 +76,20 @@
     private class Record {
         var failures = 0
         var avoidUntil = 0L
+        var errorShare = 0.0
         var suspectUntil = 0L
         var lostUntil = 0L
     }
 
     private companion object {
+        /** Weight of the newest answer in the share of failures. */
+        const val ERROR_WEIGHT = 0.2
+
+        /** Share of failures beyond what requests cause by themselves. */
+        const val OFTEN_SHARE = 0.35
+
+        /** Pause of a target that fails often, before it is tried again. */
+        const val OFTEN_PAUSE_MS = 1_000L
         const val FIRST_PAUSE_MS = 250L
         const val MAX_DOUBLINGS = 4
 
