Keep a second model on the hosts of spares; wait for members that are listed late

Cause: when a domain had used the spare of a model, its next replica waited 16 s for weights; replicas of workers that had been cut off from the store were taken apart while their members were listed one after the other; a watch that began while the store was silent went on waiting.

An incomplete replica is taken apart only after 1.5 s or when a member drains. Watches are short until the store has answered again.

--- a/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
@@ -100,7 +100,8 @@
     }
 
     private fun watch() {
-        store.watch(prefix, revision, WATCH_MS) { result ->
+        val waitMs = if (disconnected) RECOVERY_WATCH_MS else WATCH_MS
+        store.watch(prefix, revision, waitMs) { result ->
             result
                 .onSuccess { batch ->
                     onContact()
@@ -165,6 +166,9 @@
         /** A watch returns at least this often, in milliseconds. */
         const val WATCH_MS = 10_000L
 
+        /** As above until the store has answered again: a call that began while it was silent may never be answered. */
+        const val RECOVERY_WATCH_MS = 300L
+
         const val FIRST_PAUSE_MS = 50L
         const val MAX_DOUBLINGS = 3
     }
--- a/replica/src/main/kotlin/auburnhall/replica/Orders.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Orders.kt
@@ -41,6 +41,12 @@
         val epoch: Long,
     ) : Order
 
+    /** Load the weights of [model] onto the host, beside all other work. */
+    data class Stage(
+        override val worker: Worker,
+        val model: String,
+    ) : Order
+
     /** Say how you are. */
     data class Probe(
         override val worker: Worker,
--- a/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
@@ -100,6 +100,25 @@
         return (counts[domain to held] ?: 0) >= (plan[domain]?.get(held) ?: 0)
     }
 
+    /**
+     * Second models for free workers that hold one: what a spare keeps on its host covers the replicas of another model
+     * of its domain. At most [loads] are fetched.
+     */
+    fun secondModels(loads: Int): List<Placement> =
+        free.domains.sorted().flatMap { domain -> free.of(domain).mapNotNull { second(it, domain) } }.take(loads)
+
+    private fun second(
+        worker: Worker,
+        domain: String,
+    ): Placement? {
+        val held = worker.membership?.replica?.let { ReplicaName.modelOf(it) } ?: return null
+        if (worker.stagedModels.any { it != held }) return null
+        val other = models
+            .filter { it.name != held && (plan[domain]?.get(it.name) ?: 0) > 0 }
+            .maxByOrNull { it.size } ?: return null
+        return Placement(other, listOf(worker))
+    }
+
     private fun totalOf(model: Model) = counts.filterKeys { it.second == model.name }.values.sum()
 
     private fun place(
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
@@ -52,8 +52,10 @@
     private val forming = LinkedHashMap<String, Forming>()
     private val breakups = LinkedHashMap<ReplicaEpoch, Breakup>()
     private val lastJoined = HashMap<WorkerStart, ReplicaEpoch>()
+    private val staging = HashSet<Pair<WorkerStart, String>>()
     private val unclearSince = HashMap<WorkerStart, Long>()
     private val suspects = LinkedHashSet<ReplicaEpoch>()
+    private val incompleteSince = HashMap<ReplicaEpoch, Long>()
     private val announcedAt = HashMap<ReplicaEpoch, Long>()
     private val unheard = LinkedHashMap<ReplicaEpoch, MutableSet<WorkerStart>>()
     private var spareDomains: Set<String> = emptySet()
@@ -145,11 +147,12 @@
         workers: List<Worker>,
     ): List<Order> {
         val whole = open.associateBy { ReplicaEpoch(it.name, it.epoch) }
+        incompleteSince.keys.removeAll(whole.keys)
         announceLostHeads(workers)
         for (head in workers.filter(::takesRequests)) {
             val key = checkNotNull(head.membership).key
             val replica = whole[key]
-            val cause = if (replica == null) "a member drains or has left" else causeToBreak(replica)
+            val cause = if (replica == null) causeWhenIncomplete(key, workers) else causeToBreak(replica)
             if (cause != null && forming[key.replica]?.key != key) beginBreakup(head, key, cause, fleet.revision)
         }
         breakups.values.removeIf { it.isOver(workers) || losses.isLost(it.head) }
@@ -188,6 +191,20 @@
         return open && !left && worker.membership?.rank == 0 && !losses.isLost(worker)
     }
 
+    /** Members may be listed one after the other, so a missing one counts only after a while. */
+    private fun causeWhenIncomplete(
+        key: ReplicaEpoch,
+        workers: List<Worker>,
+    ): String? {
+        val since = incompleteSince.getOrPut(key) { clock.nowMs() }
+        val leaving = workers.firstOrNull { it.membership?.key == key && it.draining }
+        return when {
+            leaving != null -> "member ${leaving.id} drains"
+            clock.nowMs() - since >= INCOMPLETE_MS -> "a member is missing"
+            else -> null
+        }
+    }
+
     private fun causeToBreak(replica: Replica): String? {
         val lost = replica.members.firstOrNull { losses.isLost(it) }
         val slow = replica.members.firstOrNull { losses.isSlow(it) }
@@ -272,9 +289,21 @@
         spareDomains = free.domains
         draft.spares(loadRoom(engine)).forEach { begin(it.model, it.members, spare = true) }
         val fresh = forming.values.drop(before)
-        return fresh.flatMap { joinOrders(it, clock.nowMs()) }
+        return fresh.flatMap { joinOrders(it, clock.nowMs()) } + stageMore(draft, engine)
     }
 
+    private fun stageMore(
+        draft: PlacementDraft,
+        engine: EngineProfile,
+    ): List<Order> =
+        draft
+            .secondModels(minOf(loadRoom(engine), engine.loadsAtOnce))
+            .filter { staging.add(it.members.first().start to it.model.name) }
+            .map {
+                loads.begin()
+                Order.Stage(it.members.first(), it.model.name)
+            }
+
     private fun loadRoom(engine: EngineProfile): Int {
         val early = term.firstStart && clock.nowMs() - startedAt < FIRST_LOADS_MS
         return if (early) Int.MAX_VALUE else loads.room(engine.loadsPerSecond).coerceAtLeast(0)
@@ -429,6 +458,8 @@
 
         /** Loads before the first request are neither limited nor counted; traffic never starts sooner. */
         const val FIRST_LOADS_MS = 8_000L
+        /** Workers that were cut off from the store are listed again within about this time, in milliseconds. */
+        const val INCOMPLETE_MS = 1_500L
         const val JOIN_RETRY_MS = 500L
 
         /** The loss of a head is told again after this time, in milliseconds, while the head is listed. */
