Put the workers of a domain that returns back into replicas of what they have staged

Cause: after a dark domain returned, the first three workers that were listed were ordered into a replica of the model that none of them had on its host, and the others became spares of either model one by one, so the domain was whole only 12 s later.

A worker without a model that has one staged counts for that one; free workers become spares only after a second.

--- a/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
@@ -37,6 +37,9 @@
     /** The model that [worker] was last ordered to hold since its start; null when not known. */
     fun lastModel(worker: Worker): String?
 
+    /** Whether [worker] has been free long enough that others of its domain are listed, too. */
+    fun isSettled(worker: Worker): Boolean
+
     /** Part of the slots of the model's replicas that is taken, from 0; null when not known. */
     fun pressure(model: String): Double?
 }
@@ -70,7 +73,7 @@
         val placements = ArrayList<Placement>()
         for (domain in free.domains.sorted()) {
             val held = free.of(domain).mapNotNull { heldModel(it) }.groupingBy { it }.eachCount().toMutableMap()
-            for (worker in free.of(domain).filter { !holdsAny(it) }) {
+            for (worker in free.of(domain).filter { !holdsAny(it) && facts.isSettled(it) }) {
                 val model = stagedModel(worker) ?: spareModel(domain, held) ?: continue
                 val staged = model.name in worker.stagedModels
                 if (!staged && room <= 0) continue
@@ -96,7 +99,7 @@
         worker: Worker,
         domain: String,
     ): Boolean {
-        val held = heldModel(worker) ?: return true
+        val held = heldModel(worker) ?: stagedModel(worker)?.name ?: return true
         return (counts[domain to held] ?: 0) >= (plan[domain]?.get(held) ?: 0)
     }
 
@@ -165,7 +168,7 @@
         return when {
             held == model.name -> Warmth.LOADED
             model.name in worker.stagedModels -> Warmth.STAGED
-            held == null -> Warmth.COLD
+            held == null && stagedModel(worker) == null -> Warmth.COLD
             else -> Warmth.OTHER
         }
     }
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
@@ -52,6 +52,7 @@
     private val forming = LinkedHashMap<String, Forming>()
     private val breakups = LinkedHashMap<ReplicaEpoch, Breakup>()
     private val lastJoined = HashMap<WorkerStart, ReplicaEpoch>()
+    private val freeSince = HashMap<WorkerStart, Long>()
     private val staging = HashSet<Pair<WorkerStart, String>>()
     private val unclearSince = HashMap<WorkerStart, Long>()
     private val suspects = LinkedHashSet<ReplicaEpoch>()
@@ -74,6 +75,11 @@
     private val facts = object : PlacementFacts {
         override fun lastModel(worker: Worker): String? = lastJoined[worker.start]?.let { ReplicaName.modelOf(it.replica) }
 
+        override fun isSettled(worker: Worker): Boolean {
+            val since = freeSince.getOrPut(worker.start) { clock.nowMs() }
+            return clock.nowMs() - since >= FREE_SETTLE_MS || (term.firstStart && clock.nowMs() - startedAt < FIRST_LOADS_MS)
+        }
+
         override fun pressure(model: String): Double? = pressure[model]
     }
 
@@ -355,6 +361,7 @@
         val listed = workers.mapTo(HashSet()) { it.start }
         unclearSince.keys.retainAll(listed)
         lastJoined.keys.retainAll(listed)
+        freeSince.keys.retainAll(listed)
         return free
     }
 
@@ -458,6 +465,9 @@
 
         /** Loads before the first request are neither limited nor counted; traffic never starts sooner. */
         const val FIRST_LOADS_MS = 8_000L
+        /** Time in which the workers of a domain that returns are listed one after the other, in milliseconds. */
+        const val FREE_SETTLE_MS = 1_000L
+
         /** Workers that were cut off from the store are listed again within about this time, in milliseconds. */
         const val INCOMPLETE_MS = 1_500L
         const val JOIN_RETRY_MS = 500L
