--- a/core/src/main/kotlin/auburnhall/core/Configuration.kt
+++ b/core/src/main/kotlin/auburnhall/core/Configuration.kt
@@ -1,6 +1,6 @@
 /*
- * The configuration that the operators write: routes, services, customers and limits. A version is always whole; versions
- * only rise.
+ * The configuration that the operators write: routes, services, customers and limits. A version is always whole;
+ * versions only rise.
  */
 package auburnhall.core
 
@@ -111,12 +111,13 @@
 ) {
     companion object {
         /** Applies until the first configuration is known. */
-        val DEFAULT = CallerLimits(
-            maxHeaderBytes = 16_384,
-            maxBodyBytes = 4_194_304,
-            headerTimeoutMs = 3_000,
-            idleTimeoutMs = 15_000,
-        )
+        val DEFAULT =
+            CallerLimits(
+                maxHeaderBytes = 16_384,
+                maxBodyBytes = 4_194_304,
+                headerTimeoutMs = 3_000,
+                idleTimeoutMs = 15_000,
+            )
     }
 }
 
@@ -129,7 +130,10 @@
     val limits: CallerLimits,
 ) {
     val services: Map<String, Service> = services.associateBy { it.name }
-    private val routesByHost = routes.groupBy { it.host }.mapValues { (_, of) -> of.sortedByDescending { it.prefix.length } }
+    private val routesByHost =
+        routes.groupBy { it.host }.mapValues { (_, of) ->
+            of.sortedByDescending { it.prefix.length }
+        }
     private val customersByKey = customers.flatMap { of -> of.apiKeys.map { it to of } }.toMap()
 
     /** Whether requests have to prove which customer they come from. */
--- a/core/src/main/kotlin/auburnhall/core/Fleet.kt
+++ b/core/src/main/kotlin/auburnhall/core/Fleet.kt
@@ -60,13 +60,17 @@
     fun ofService(service: String): List<Worker> = byService[service].orEmpty()
 
     /**
-     * The replicas of [service] that take requests: the head is open, as many members as the model needs report the same
-     * replica and epoch, and none is about to stop.
+     * The replicas of [service] that take requests: the head is open, as many members as the model needs report the
+     * same replica and epoch, and none is about to stop.
      */
     fun openReplicas(
         service: String,
         models: List<Model>,
-    ): List<Replica> = replicas(service, models).filter { it.state == MemberState.OPEN && it.members.none(Worker::draining) }
+    ): List<Replica> =
+        replicas(service, models).filter {
+            it.state == MemberState.OPEN &&
+                it.members.none(Worker::draining)
+        }
 
     /** The complete replicas of [service], in whatever state. */
     fun replicas(
@@ -88,7 +92,8 @@
     ): Replica? {
         val model = ReplicaName.modelOf(name)
         val ranked = members.sortedBy { checkNotNull(it.membership).rank }
-        val complete = sizes[model] == ranked.size && ranked.withIndex().all { (rank, of) -> of.membership?.rank == rank }
+        val complete =
+            sizes[model] == ranked.size && ranked.withIndex().all { (rank, of) -> of.membership?.rank == rank }
         return if (complete) Replica(name, epoch, model, ranked) else null
     }
 
@@ -98,8 +103,8 @@
 }
 
 /**
- * Names of replicas hold their model, so that what workers report is enough to tell all replicas after every process was
- * lost.
+ * Names of replicas hold their model, so that what workers report is enough to tell all replicas after every process
+ * was lost.
  */
 object ReplicaName {
     private const val SEPARATOR = '/'
--- a/core/src/main/kotlin/auburnhall/core/ReplicaTracker.kt
+++ b/core/src/main/kotlin/auburnhall/core/ReplicaTracker.kt
@@ -37,7 +37,12 @@
     ): Boolean {
         val head = fleet.workers[replica.head.id] ?: return false
         val listed = replica.members.mapNotNull { fleet.workers[it.id] }
-        val agree = listed.all { it.membership?.replica == replica.name && it.membership.epoch == replica.epoch && !it.draining }
+        val agree =
+            listed.all {
+                it.membership?.replica == replica.name &&
+                    it.membership.epoch == replica.epoch &&
+                    !it.draining
+            }
         return agree && head.membership?.state == MemberState.OPEN
     }
 }
--- /dev/null
+++ b/entry/src/main/kotlin/auburnhall/entry/AdminPages.kt
@@ -0,0 +1,64 @@
+/*
+ * What the platform and the operators ask a process: whether it takes callers, and its metrics.
+ */
+package auburnhall.entry
+
+import auburnhall.core.Address
+import auburnhall.core.CallerLimits
+import auburnhall.core.Clock
+import auburnhall.http.HttpServer
+import auburnhall.http.InboundRequest
+import auburnhall.http.Reply
+import auburnhall.http.RequestHandler
+import auburnhall.http.newHeaders
+import auburnhall.platform.Readiness
+import io.netty.channel.EventLoop
+
+/** Serves the pages of one process. */
+class AdminPages(
+    private val clock: Clock,
+    private val metrics: EntryMetrics,
+    private val isReady: () -> Boolean,
+) {
+    /** Answers the balancer at [address] on [loop]. */
+    fun serveReadiness(
+        loop: EventLoop,
+        address: Address,
+    ) = serve(loop, address, ::onReadiness)
+
+    /** Answers requests for metrics at [address] on [loop]. */
+    fun serveMetrics(
+        loop: EventLoop,
+        address: Address,
+    ) = serve(loop, address, ::onMetrics)
+
+    private fun serve(
+        loop: EventLoop,
+        address: Address,
+        handler: RequestHandler,
+    ) {
+        HttpServer(loop, clock, { CallerLimits.DEFAULT }, handler).bind(address).sync()
+    }
+
+    private fun onReadiness(
+        request: InboundRequest,
+        reply: Reply,
+    ) {
+        val status = if (request.path == Readiness.PATH) Readiness.statusOf(isReady()) else NOT_FOUND
+        reply.send(status, newHeaders(), ByteArray(0))
+    }
+
+    private fun onMetrics(
+        request: InboundRequest,
+        reply: Reply,
+    ) {
+        val found = request.path == METRICS_PATH
+        reply.send(if (found) OK else NOT_FOUND, newHeaders(), if (found) metrics.scrape() else ByteArray(0))
+    }
+
+    private companion object {
+        const val OK = 200
+        const val NOT_FOUND = 404
+        const val METRICS_PATH = "/metrics"
+    }
+}
--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -1,84 +1,58 @@
 /*
- * The control thread: what this process knows of the configuration, the workers and the other processes, and, while it
- * is the controller, the replicas.
+ * The control thread: keeps the view of the store, this process's registration, and control of the replicas.
  */
 package auburnhall.entry
 
 import auburnhall.core.Clock
-import auburnhall.core.Configuration
 import auburnhall.core.EventListener
-import auburnhall.core.Fleet
 import auburnhall.core.KeyValueStore
-import auburnhall.core.Replica
-import auburnhall.core.ReplicaTracker
 import auburnhall.core.Scheduler
 import auburnhall.core.Settings
 import auburnhall.core.StoreItem
-import auburnhall.core.log
-import auburnhall.platform.ConfigurationCodec
 import auburnhall.platform.WorkerCalls
-import auburnhall.platform.WorkerEntryCodec
 import auburnhall.replica.ControllerTerm
-import auburnhall.replica.Order
-import auburnhall.replica.ReplicaController
-import auburnhall.replica.ReplicaEpoch
 import auburnhall.replica.ReplicaListener
-import com.github.michaelbull.result.onFailure
-import com.github.michaelbull.result.onSuccess
 import kotlin.random.Random
 
-/** Receives what the control thread knows; called on the control thread. */
-interface ControlListener {
-    /** Requests are to be served under [configuration] with the workers of [fleet] and the open [replicas] by service. */
-    fun onState(
-        configuration: Configuration,
-        fleet: Fleet,
-        replicas: Map<String, List<Replica>>,
-    )
-
-    /** All members of a replica that was suspected have answered. */
-    fun onSound(key: ReplicaEpoch)
-
-    /** A replica is taken apart and must get no more requests. */
-    fun onBreaking(key: ReplicaEpoch)
-
-    /** The other processes, by name, with the hosts at which they are reached. */
-    fun onPeers(peers: Map<String, String>)
-}
-
-/** Runs control on [scheduler]'s thread. */
+/** What the control thread works with. */
+class ControlParts(
+    val settings: Settings,
+    val store: KeyValueStore,
+    val clock: Clock,
+    val scheduler: Scheduler,
+    val random: Random,
+    val events: EventListener,
+)
+
+/** Receives what the control thread knows and finds out; called on the control thread. */
+interface ControlListener :
+    ViewListener,
+    ReplicaListener
+
+/** Runs control. */
 class ControlPlane(
-    private val settings: Settings,
-    private val store: KeyValueStore,
-    private val workers: WorkerCalls,
-    private val clock: Clock,
-    private val scheduler: Scheduler,
-    private val random: Random,
-    private val events: EventListener,
-    private val listener: ControlListener,
+    private val parts: ControlParts,
+    workers: WorkerCalls,
+    listener: ControlListener,
 ) : MirrorListener,
-    LeadershipListener,
-    ReplicaListener {
-    private val mirror = StoreMirror("", store, clock, scheduler, random, events, this, ::batchMs)
-    private val feed = FleetFeed(clock, events, ::storeWasAway)
-    private val registration = Registration(settings.processName, settings.host, store, scheduler, events)
-    private val leadership =
-        Leadership(settings.processName, store, clock, scheduler, random, events, this, settings.minLeaseMs)
-    private val peers = HashMap<String, String>()
-    private val trackers = HashMap<String, ReplicaTracker>()
-    private val controllers = HashMap<String, ReplicaController>()
-    private var configuration: Configuration? = null
-    private var fleet = Fleet.EMPTY
-    private var revision = 0L
-    private var term: ControllerTerm? = null
-    private var peersChanged = false
-    private var controlDue = false
+    LeadershipListener {
+    private val view = StoreView(parts.settings.processName, parts.events, listener, parts.clock, ::storeWasAway)
+    private val mirror: StoreMirror =
+        StoreMirror("", parts, this) {
+            if (leadership.isLeading) CONTROLLER_BATCH_MS else FOLLOWER_BATCH_MS
+        }
+    private val registration = Registration(parts)
+    private val leadership: Leadership = Leadership(parts, this)
 
-    /** Whether this process controls the replicas. */
+    /** The controllers of the replicas. */
+    val replicas = ReplicaControl(view, workers, parts, listener)
+
+    /** Whether this process controls the replicas. May be read on any thread. */
     val isLeading: Boolean get() = leadership.isLeading
 
     /** Begins; call on the control thread. */
     fun start() {
+        replicas.mayOrder = { leadership.isLeading }
         mirror.start()
         registration.start()
         tick()
@@ -90,157 +64,48 @@
         registration.stop()
     }
 
-    /** A replica has fallen silent. */
-    fun onSuspect(key: ReplicaEpoch) {
-        if (!leadership.isLeading) return
-        controllers.values.forEach { it.onSuspect(key) }
-        controlSoon()
-    }
-
-    /** The traffic thread has counted which part of the slots of each model is taken, by service and model. */
-    fun onPressure(counted: Map<String, Map<String, Double>>) {
-        controllers.forEach { (service, controller) -> controller.pressure = counted[service].orEmpty() }
-    }
-
-    override fun onSound(key: ReplicaEpoch) = listener.onSound(key)
-
-    override fun onBreaking(key: ReplicaEpoch) = listener.onBreaking(key)
-
     override fun onPut(item: StoreItem) {
-        when {
-            item.key == ConfigurationCodec.KEY -> onConfiguration(item)
-            item.key == Leadership.CONTROLLER_KEY -> leadership.onKey(item)
-            item.key.startsWith(WorkerEntryCodec.PREFIX) -> feed.onPut(item)
-            item.key.startsWith(Registration.PREFIX) -> onPeer(item)
-        }
+        if (item.key == Leadership.CONTROLLER_KEY) leadership.onKey(item) else view.onPut(item)
     }
 
     override fun onRemoved(
         key: String,
         revision: Long,
     ) {
-        when {
-            key == Leadership.CONTROLLER_KEY -> leadership.onRemoved(revision)
-            key == ConfigurationCodec.KEY -> events.log("configuration.removed", "kept" to configuration?.version)
-            key.startsWith(WorkerEntryCodec.PREFIX) -> feed.onRemoved(key)
-            key.startsWith(Registration.PREFIX) -> removePeer(key.removePrefix(Registration.PREFIX))
-        }
+        if (key == Leadership.CONTROLLER_KEY) leadership.onRemoved(revision) else view.onRemoved(key)
     }
 
     override fun onBatch(revision: Long) {
-        this.revision = revision
-        if (mirror.find(Leadership.CONTROLLER_KEY) == null) leadership.onVacant()
-        if (peersChanged) {
-            peersChanged = false
-            listener.onPeers(HashMap(peers))
-        }
-        publish()
+        seekLeadership()
+        view.publish(revision)
     }
 
     override fun onElected(revision: Long) {
-        term = ControllerTerm(revision * EPOCHS_PER_REVISION, settings.firstStart && revision < FIRST_REVISIONS)
-        controllers.clear()
-    }
-
-    override fun onDeposed() {
-        term = null
-        controllers.clear()
-    }
-
-    private fun batchMs() = if (leadership.isLeading) CONTROLLER_BATCH_MS else FOLLOWER_BATCH_MS
-
-    private fun storeWasAway(): Boolean {
-        val regained = mirror.regainedAt
-        return mirror.disconnected || (regained != null && clock.nowMs() - regained < LAPSE_MS)
+        val first = parts.settings.firstStart && revision < FIRST_REVISIONS
+        replicas.onTerm(ControllerTerm(revision * EPOCHS_PER_REVISION, first))
     }
 
-    private fun onConfiguration(item: StoreItem) {
-        ConfigurationCodec
-            .decode(item.value)
-            .onSuccess(::applyConfiguration)
-            .onFailure { events.log("configuration.unreadable", "revision" to item.revision, "cause" to it) }
-    }
-
-    private fun applyConfiguration(newer: Configuration) {
-        val current = configuration?.version
-        if (current != null && newer.version < current) {
-            events.log("configuration.older_ignored", "version" to newer.version, "current" to current)
-            return
-        }
-        configuration = newer
-        events.log("configuration.applied", "version" to newer.version, "routes" to newer.routes.size, "before" to current)
-    }
-
-    private fun onPeer(item: StoreItem) {
-        val name = item.key.removePrefix(Registration.PREFIX)
-        if (name == settings.processName) return
-        peers[name] = String(item.value)
-        peersChanged = true
-    }
+    override fun onDeposed() = replicas.onTerm(null)
 
-    private fun removePeer(name: String) {
-        if (storeWasAway()) return
-        if (peers.remove(name) != null) peersChanged = true
-    }
-
-    private fun publish() {
-        fleet = feed.fleet(revision)
-        val current = configuration ?: return
-        val engines = current.services.values.mapNotNull { of -> of.engine?.let { of.name to it } }
-        val open = engines.associate { (name, engine) -> name to tracker(name).update(fleet, engine.models) }
-        listener.onState(current, fleet, open)
+    private fun seekLeadership() {
+        if (mirror.loaded && mirror.find(Leadership.CONTROLLER_KEY) == null) leadership.onVacant()
     }
 
     private fun tick() {
-        if (feed.expire()) publish()
+        view.expire()
         leadership.check()
-        if (mirror.loaded && mirror.find(Leadership.CONTROLLER_KEY) == null) leadership.onVacant()
-        if (leadership.isLeading) control()
-        scheduler.after(TICK_MS) { tick() }
+        seekLeadership()
+        replicas.decide()
+        parts.scheduler.after(TICK_MS) { tick() }
     }
 
-    private fun control() {
-        val current = term ?: return
-        for (service in configuration?.services?.values.orEmpty()) {
-            val engine = service.engine ?: continue
-            val controller = controllers.getOrPut(service.name) { newController(service.name, current) }
-            controller.tick(fleet, engine, tracker(service.name)).forEach { send(controller, it) }
-        }
-    }
-
-    private fun send(
-        controller: ReplicaController,
-        order: Order,
-    ) {
-        if (order !is Order.Probe) {
-            events.log("order.sent", "order" to order.javaClass.simpleName, "worker" to order.worker.id, "fleet" to revision)
-        }
-        workers.send(order) {
-            controller.onResult(order, it)
-            controlSoon()
-        }
-    }
-
-    /** Decides again without waiting for the next tick; several results that come together are decided on at once. */
-    private fun controlSoon() {
-        if (controlDue) return
-        controlDue = true
-        scheduler.after(CONTROL_SOON_MS) {
-            controlDue = false
-            if (leadership.isLeading) control()
-        }
+    private fun storeWasAway(): Boolean {
+        val regained = mirror.regainedAt
+        return mirror.disconnected || (regained != null && parts.clock.nowMs() - regained < LAPSE_MS)
     }
 
-    private fun tracker(service: String) = trackers.getOrPut(service) { ReplicaTracker(service) }
-
-    private fun newController(
-        service: String,
-        current: ControllerTerm,
-    ) = ReplicaController(service, clock, current, events, this)
-
     private companion object {
         const val TICK_MS = 100L
-        const val CONTROL_SOON_MS = 5L
 
         /** The controller waits for what workers report. */
         const val CONTROLLER_BATCH_MS = 100L
--- a/entry/src/main/kotlin/auburnhall/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryMetrics.kt
@@ -14,26 +14,29 @@
 /** The metrics of one process. */
 class EntryMetrics : GatewayMetrics {
     private val registry = PrometheusRegistry()
-    private val answers = Counter
-        .builder()
-        .name("auburnhall_answers_total")
-        .help("Requests by kind and outcome.")
-        .labelNames("kind", "outcome")
-        .register(registry)
-    private val retries = Counter
-        .builder()
-        .name("auburnhall_retries_total")
-        .help("Requests that were sent once more, by reason.")
-        .labelNames("reason")
-        .register(registry)
-    private val latency = Histogram
-        .builder()
-        .name("auburnhall_answer_seconds")
-        .help("Time from the whole request to the end of its answer, by kind and outcome.")
-        .labelNames("kind", "outcome")
-        .classicOnly()
-        .classicUpperBounds(*BUCKETS_S)
-        .register(registry)
+    private val answers =
+        Counter
+            .builder()
+            .name("auburnhall_answers_total")
+            .help("Requests by kind and outcome.")
+            .labelNames("kind", "outcome")
+            .register(registry)
+    private val retries =
+        Counter
+            .builder()
+            .name("auburnhall_retries_total")
+            .help("Requests that were sent once more, by reason.")
+            .labelNames("reason")
+            .register(registry)
+    private val latency =
+        Histogram
+            .builder()
+            .name("auburnhall_answer_seconds")
+            .help("Time from the whole request to the end of its answer, by kind and outcome.")
+            .labelNames("kind", "outcome")
+            .classicOnly()
+            .classicExponentialUpperBounds(FIRST_BUCKET_S, BUCKET_FACTOR, BUCKETS)
+            .register(registry)
 
     override fun onAnswered(
         kind: String,
@@ -69,6 +72,8 @@
 
     private companion object {
         const val MS_PER_SECOND = 1_000.0
-        val BUCKETS_S = doubleArrayOf(0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 10.0)
+        const val FIRST_BUCKET_S = 0.01
+        const val BUCKET_FACTOR = 2.0
+        const val BUCKETS = 11
     }
 }
--- a/entry/src/main/kotlin/auburnhall/entry/FleetFeed.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/FleetFeed.kt
@@ -1,6 +1,6 @@
 /*
- * The workers as the store lists them. Entries that lapse while the store is away come back shortly after it does, so a
- * removal in that time counts only once the worker has had the chance to register again.
+ * The workers as the store lists them. Entries that lapse while the store is away come back shortly after it does, so
+ * a removal in that time counts only once the worker has had the chance to register again.
  */
 package auburnhall.entry
 
--- a/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
@@ -1,13 +1,9 @@
 /*
- * Which process controls the replicas: the one whose name stands under a key that is bound to a lease. A term is counted
- * from the revision of that write, so that a later controller's orders overrule those of an earlier one.
+ * Which process controls the replicas: the one whose name stands under a key that is bound to a lease. A term is
+ * counted from the revision of that write, so that a later controller's orders overrule those of an earlier one.
  */
 package auburnhall.entry
 
-import auburnhall.core.Clock
-import auburnhall.core.EventListener
-import auburnhall.core.KeyValueStore
-import auburnhall.core.Scheduler
 import auburnhall.core.StoreError
 import auburnhall.core.StoreItem
 import auburnhall.core.StoreLease
@@ -15,7 +11,6 @@
 import auburnhall.core.log
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
-import kotlin.random.Random
 
 /** Told when this process begins and ends to control. */
 interface LeadershipListener {
@@ -26,20 +21,15 @@
     fun onDeposed()
 }
 
-/** Takes and keeps control for the process [name]. Control thread only. */
+/** Takes and keeps control for this process. Control thread only. */
 class Leadership(
-    private val name: String,
-    private val store: KeyValueStore,
-    private val clock: Clock,
-    private val scheduler: Scheduler,
-    private val random: Random,
-    private val events: EventListener,
+    private val parts: ControlParts,
     private val listener: LeadershipListener,
-    minLeaseMs: Long,
 ) {
-    private val ttlMs = maxOf(TTL_MS, minLeaseMs)
+    private val ttlMs = maxOf(TTL_MS, parts.settings.minLeaseMs)
     private var lease: StoreLease? = null
     private var attempting = false
+
     @Volatile
     private var leading = false
     private var stopped = false
@@ -49,12 +39,12 @@
     private var electedAt = 0L
 
     /** Whether this process controls the replicas now. */
-    val isLeading: Boolean get() = leading && clock.nowMs() < validUntil
+    val isLeading: Boolean get() = leading && parts.clock.nowMs() < validUntil
 
     /** The key that names the controller was written, or found. */
     fun onKey(item: StoreItem) {
         val held = lease ?: return
-        if (!leading && String(item.value) == valueOf(held)) elected(held, item.revision)
+        if (!leading && String(item.value) == held.valueFor(parts)) elected(held, item.revision)
     }
 
     /** The key that names the controller was removed at [revision]. */
@@ -63,30 +53,28 @@
     }
 
     /** No controller is named, as far as this process knows. */
-    fun onVacant() = attemptSoon()
+    fun onVacant() {
+        if (attempting || stopped || leading) return
+        attempting = true
+        parts.scheduler.after(parts.random.nextLong(SPREAD_MS)) { attempt() }
+    }
 
     /** Gives up control, when this process stops. */
     fun stop() {
         stopped = true
         val held = lease
         depose("stopping")
-        held?.let { lease -> store.endLease(lease.id) { } }
+        held?.let { lease -> parts.store.endLease(lease.id) { } }
     }
 
     /** Ends the term once its lease may have run out. */
     fun check() {
-        if (leading && clock.nowMs() >= validUntil) depose("the lease was not renewed")
-    }
-
-    private fun attemptSoon() {
-        if (attempting || stopped || leading) return
-        attempting = true
-        scheduler.after(random.nextLong(SPREAD_MS)) { attempt() }
+        if (leading && parts.clock.nowMs() >= validUntil) depose("the lease was not renewed")
     }
 
     private fun attempt() {
-        val began = clock.nowMs()
-        store.grantLease(ttlMs) { result ->
+        val began = parts.clock.nowMs()
+        parts.store.grantLease(ttlMs) { result ->
             result
                 .onSuccess { claim(it, began) }
                 .onFailure { attempting = false }
@@ -99,8 +87,8 @@
     ) {
         lease = granted
         validUntil = began + granted.ttlMs - MARGIN_MS
-        val put = StoreTransaction.Put(CONTROLLER_KEY, valueOf(granted).toByteArray(), granted.id)
-        store.commit(StoreTransaction(mapOf(CONTROLLER_KEY to 0L), listOf(put))) { result ->
+        val put = StoreTransaction.Put(CONTROLLER_KEY, granted.valueFor(parts).toByteArray(), granted.id)
+        parts.store.commit(StoreTransaction(mapOf(CONTROLLER_KEY to 0L), listOf(put))) { result ->
             attempting = false
             result
                 .onSuccess { revision -> elected(granted, revision) }
@@ -115,32 +103,30 @@
         if (leading || stopped) return
         leading = true
         electedAt = revision
-        events.log("leadership.taken", "revision" to revision, "lease" to held.id)
+        parts.events.log("leadership.taken", "revision" to revision, "lease" to held.id)
         listener.onElected(revision)
-        scheduler.after(RENEW_MS) { renew(held) }
+        parts.scheduler.after(RENEW_MS) { renew(held) }
     }
 
     private fun renew(held: StoreLease) {
         if (lease != held || !leading) return
-        val sentAt = clock.nowMs()
-        store.renewLease(held.id) { result ->
+        val sentAt = parts.clock.nowMs()
+        parts.store.renewLease(held.id) { result ->
             result
                 .onSuccess { validUntil = sentAt + held.ttlMs - MARGIN_MS }
                 .onFailure { if (it is StoreError.NoSuchLease) depose("the lease has ended") }
         }
-        scheduler.after(RENEW_MS) { renew(held) }
+        parts.scheduler.after(RENEW_MS) { renew(held) }
     }
 
     private fun depose(cause: String) {
         lease = null
         if (!leading) return
         leading = false
-        events.log("leadership.lost", "cause" to cause)
+        parts.events.log("leadership.lost", "cause" to cause)
         listener.onDeposed()
     }
 
-    private fun valueOf(held: StoreLease) = "$name ${held.id}"
-
     companion object {
         /** Names the controlling process. */
         const val CONTROLLER_KEY = "auburnhall/controller"
@@ -156,3 +142,6 @@
         private const val SPREAD_MS = 200L
     }
 }
+
+/** What stands under the key that names the controller while this process holds it by this lease. */
+private fun StoreLease.valueFor(parts: ControlParts) = "${parts.settings.processName} $id"
--- a/entry/src/main/kotlin/auburnhall/entry/Main.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Main.kt
@@ -10,33 +10,20 @@
 import com.github.michaelbull.result.map
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
-import org.kohsuke.args4j.Option
 import sun.misc.Signal
 import kotlin.system.exitProcess
 
-/** Flags of the entry process. */
-internal class EntryOptions {
-    @Option(name = "--metrics-port", metaVar = "PORT", usage = "port of the metrics page, 1 to 65535")
-    var metricsPort: Int = DEFAULT_METRICS_PORT
-
-    @Option(name = "--exit-after-ms", metaVar = "MS", usage = "end after this time; for the build's class archive")
-    var exitAfterMs: Long = 0
-
-    private companion object {
-        const val DEFAULT_METRICS_PORT = 9_464
-    }
-}
-
 private const val RELOAD_POLL_MS = 1_000L
 private const val EXIT_USAGE = 2
 
 /** Starts the entry process; it ends by a signal. */
 fun main(args: Array<String>) {
     val options = parse(args)
-    val process = SettingsFile
-        .fromEnvironment(System.getenv())
-        .andThen { file -> file.read().map { EntryProcess(it, file, options.metricsPort) } }
-        .getOrElse { fail(it) }
+    val process =
+        SettingsFile
+            .fromEnvironment(System.getenv())
+            .andThen { file -> file.read().map { EntryProcess(it, file, options.metricsPort) } }
+            .getOrElse { fail(it) }
     Signal.handle(Signal("TERM")) { process.stop() }
     Signal.handle(Signal("HUP")) { process.reload("signal") }
     process.start()
@@ -54,7 +41,7 @@
 private fun parse(args: Array<String>): EntryOptions {
     val options = EntryOptions()
     try {
-        CmdLineParser(options).parseArgument(*args)
+        CmdLineParser(options).parseArgument(args.asList())
     } catch (e: CmdLineException) {
         System.err.println("auburnhall: ${e.message}")
         exitProcess(EXIT_USAGE)
--- a/entry/src/main/kotlin/auburnhall/entry/PeerNews.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerNews.kt
@@ -1,11 +1,12 @@
 /*
- * What the processes tell each other by datagrams: how many requests each has in progress at which target, and replicas
- * that fell silent. A datagram that is lost is made up for by the next.
+ * What the processes tell each other by datagrams: how many requests each has in progress at which target, and
+ * replicas that fell silent. A datagram that is lost is made up for by the next.
  */
 package auburnhall.entry
 
 import auburnhall.core.Replica
-import auburnhall.core.Scheduler
+import auburnhall.core.Settings
+import auburnhall.http.LoopScheduler
 import auburnhall.routing.LoadBook
 import auburnhall.routing.SilenceMonitor
 import auburnhall.routing.TargetHealth
@@ -28,18 +29,25 @@
 import kotlinx.serialization.protobuf.ProtoNumber
 import java.net.InetSocketAddress
 
+private const val PROCESS = 1
+private const val TARGETS = 2
+private const val REQUESTS = 3
+private const val REPLICA = 4
+private const val FINDING = 5
+private const val UNREAD_TOKENS = 6
+
 /** One datagram. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 data class PeerMessage(
-    @ProtoNumber(1) val process: String,
+    @ProtoNumber(PROCESS) val process: String,
     /** Targets by hash, each with the work there at the same index of [requests] and [unreadTokens]. */
-    @ProtoNumber(2) val targets: List<Int> = emptyList(),
-    @ProtoNumber(3) val requests: List<Int> = emptyList(),
-    @ProtoNumber(6) val unreadTokens: List<Int> = emptyList(),
+    @ProtoNumber(TARGETS) val targets: List<Int> = emptyList(),
+    @ProtoNumber(REQUESTS) val requests: List<Int> = emptyList(),
+    @ProtoNumber(UNREAD_TOKENS) val unreadTokens: List<Int> = emptyList(),
     /** The replica that [finding] is about; null in a report of load. */
-    @ProtoNumber(4) val replica: String? = null,
-    @ProtoNumber(5) val finding: Finding = Finding.SUSPECT,
+    @ProtoNumber(REPLICA) val replica: String? = null,
+    @ProtoNumber(FINDING) val finding: Finding = Finding.SUSPECT,
 )
 
 /** What is told of a replica. */
@@ -54,18 +62,25 @@
     BREAKING,
 }
 
+/** What news is about on the traffic thread. */
+class NewsSubjects(
+    val load: LoadBook,
+    val health: TargetHealth,
+    val silence: SilenceMonitor,
+    val targets: () -> TargetTable,
+    /** Told of replicas that fell silent, here or elsewhere. */
+    val onSuspect: (Replica) -> Unit,
+)
+
 /** Sends and receives news. Traffic thread only. */
 class PeerNews(
-    private val process: String,
-    private val port: Int,
+    settings: Settings,
     private val loop: EventLoop,
-    private val scheduler: Scheduler,
-    private val load: LoadBook,
-    private val health: TargetHealth,
-    private val silence: SilenceMonitor,
-    private val targets: () -> TargetTable,
-    private val onSuspect: (Replica) -> Unit,
+    private val subjects: NewsSubjects,
 ) {
+    private val process = settings.processName
+    private val port = settings.peerPort
+    private val scheduler = LoopScheduler(loop)
     private var peers: List<InetSocketAddress> = emptyList()
     private var channel: Channel? = null
     private var lastSent: Map<TargetKey, TargetLoad> = emptyMap()
@@ -76,11 +91,12 @@
 
     /** Binds at [host] and begins to tell the load. */
     fun start(host: String): ChannelFuture {
-        val bound = Bootstrap()
-            .group(loop)
-            .channel(NioDatagramChannel::class.java)
-            .handler(Receiver())
-            .bind(host, port)
+        val bound =
+            Bootstrap()
+                .group(loop)
+                .channel(NioDatagramChannel::class.java)
+                .handler(Receiver())
+                .bind(host, port)
         channel = bound.channel()
         tell()
         return bound
@@ -101,7 +117,7 @@
     }
 
     private fun tell() {
-        val now = HashMap(load.own())
+        val now = HashMap(subjects.load.own())
         unchanged = if (now == lastSent) unchanged + 1 else 0
         if (unchanged == 0 || (now.isNotEmpty() && unchanged % REPEAT_EVERY == 0)) {
             lastSent = now
@@ -132,7 +148,7 @@
     private fun onMessage(message: PeerMessage) {
         val replica = message.replica
         if (replica == null) {
-            load.onTold(message.process, loadsOf(message))
+            subjects.load.onTold(message.process, loadsOf(message))
         } else {
             onFinding(TargetKey(replica), message.finding)
         }
@@ -148,16 +164,16 @@
         key: TargetKey,
         finding: Finding,
     ) {
-        val replica = targets().find(key)?.replica ?: return
+        val replica = subjects.targets().find(key)?.replica ?: return
         when (finding) {
-            Finding.BREAKING -> health.markLost(key)
+            Finding.BREAKING -> subjects.health.markLost(key)
             Finding.SUSPECT -> {
-                health.suspect(key)
-                onSuspect(replica)
+                subjects.health.suspect(key)
+                subjects.onSuspect(replica)
             }
             Finding.SOUND -> {
-                health.clear(key)
-                silence.onHeard(key)
+                subjects.health.clear(key)
+                subjects.silence.onHeard(key)
             }
         }
     }
@@ -170,11 +186,12 @@
         ) {
             val bytes = ByteArray(packet.content().readableBytes())
             packet.content().readBytes(bytes)
-            val message = try {
-                ProtoBuf.decodeFromByteArray(PeerMessage.serializer(), bytes)
-            } catch (_: SerializationException) {
-                return
-            }
+            val message =
+                try {
+                    ProtoBuf.decodeFromByteArray(PeerMessage.serializer(), bytes)
+                } catch (_: SerializationException) {
+                    return
+                }
             onMessage(message)
         }
     }
--- a/entry/src/main/kotlin/auburnhall/entry/Registration.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Registration.kt
@@ -3,9 +3,6 @@
  */
 package auburnhall.entry
 
-import auburnhall.core.EventListener
-import auburnhall.core.KeyValueStore
-import auburnhall.core.Scheduler
 import auburnhall.core.StoreError
 import auburnhall.core.StoreLease
 import auburnhall.core.StoreTransaction
@@ -13,13 +10,9 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 
-/** Keeps the registration of the process [name] at [host]. Control thread only. */
+/** Keeps the registration of this process. Control thread only. */
 class Registration(
-    private val name: String,
-    private val host: String,
-    private val store: KeyValueStore,
-    private val scheduler: Scheduler,
-    private val events: EventListener,
+    private val parts: ControlParts,
 ) {
     private var stopped = false
     private var held: StoreLease? = null
@@ -27,7 +20,7 @@
     /** Registers, now and whenever the registration has lapsed. */
     fun start() {
         if (stopped) return
-        store.grantLease(TTL_MS) { result ->
+        parts.store.grantLease(TTL_MS) { result ->
             result
                 .onSuccess(::register)
                 .onFailure { again(it) }
@@ -37,24 +30,24 @@
     /** Removes the registration. */
     fun stop() {
         stopped = true
-        held?.let { lease -> store.endLease(lease.id) { } }
+        held?.let { lease -> parts.store.endLease(lease.id) { } }
     }
 
     private fun register(lease: StoreLease) {
         held = lease
-        val put = StoreTransaction.Put(PREFIX + name, host.toByteArray(), lease.id)
-        store.commit(StoreTransaction(emptyMap(), listOf(put))) { result ->
+        val put = StoreTransaction.Put(PREFIX + parts.settings.processName, parts.settings.host.toByteArray(), lease.id)
+        parts.store.commit(StoreTransaction(emptyMap(), listOf(put))) { result ->
             result
-                .onSuccess { scheduler.after(RENEW_MS) { renew(lease) } }
+                .onSuccess { parts.scheduler.after(RENEW_MS) { renew(lease) } }
                 .onFailure { again(it) }
         }
     }
 
     private fun renew(lease: StoreLease) {
         if (stopped) return
-        store.renewLease(lease.id) { result ->
+        parts.store.renewLease(lease.id) { result ->
             result
-                .onSuccess { scheduler.after(RENEW_MS) { renew(lease) } }
+                .onSuccess { parts.scheduler.after(RENEW_MS) { renew(lease) } }
                 .onFailure { onRenewFailed(lease, it) }
         }
     }
@@ -68,15 +61,15 @@
             return
         }
         if (error is StoreError.NoAnswer) {
-            events.log("store.reconnecting", "error" to error)
-            store.reconnect()
+            parts.events.log("parts.store.reconnecting", "error" to error)
+            parts.store.reconnect()
         }
-        scheduler.after(RETRY_MS) { renew(lease) }
+        parts.scheduler.after(RETRY_MS) { renew(lease) }
     }
 
     private fun again(error: StoreError) {
-        events.log("registration.failed", "error" to error)
-        scheduler.after(RETRY_MS) { start() }
+        parts.events.log("registration.failed", "error" to error)
+        parts.scheduler.after(RETRY_MS) { start() }
     }
 
     companion object {
--- /dev/null
+++ b/entry/src/main/kotlin/auburnhall/entry/ReplicaControl.kt
@@ -0,0 +1,89 @@
+/*
+ * Runs the controllers of the replicas while this process leads.
+ */
+package auburnhall.entry
+
+import auburnhall.core.log
+import auburnhall.platform.WorkerCalls
+import auburnhall.replica.ControllerScope
+import auburnhall.replica.ControllerTerm
+import auburnhall.replica.Order
+import auburnhall.replica.ReplicaController
+import auburnhall.replica.ReplicaEpoch
+import auburnhall.replica.ReplicaListener
+
+/** One controller for each service with model workers. Control thread only. */
+class ReplicaControl(
+    private val view: StoreView,
+    private val workers: WorkerCalls,
+    private val parts: ControlParts,
+    private val replicas: ReplicaListener,
+) {
+    private val controllers = HashMap<String, ReplicaController>()
+    private var term: ControllerTerm? = null
+    private var due = false
+
+    /** Whether this process may still give orders. */
+    var mayOrder: () -> Boolean = { false }
+
+    /** A term begins or, with null, ends. */
+    fun onTerm(begun: ControllerTerm?) {
+        term = begun
+        controllers.clear()
+    }
+
+    /** A replica has fallen silent. */
+    fun onSuspect(key: ReplicaEpoch) {
+        controllers.values.forEach { it.onSuspect(key) }
+        decideSoon()
+    }
+
+    /** Part of the slots of each model that is taken, by service and model. */
+    fun onPressure(counted: Map<String, Map<String, Double>>) {
+        controllers.forEach { (service, controller) -> controller.pressure = counted[service].orEmpty() }
+    }
+
+    /** Lets every controller decide. */
+    fun decide() {
+        val current = term?.takeIf { mayOrder() } ?: return
+        for (service in view.configuration
+            ?.services
+            ?.values
+            .orEmpty()) {
+            val engine = service.engine ?: continue
+            val controller =
+                controllers.getOrPut(service.name) {
+                    ReplicaController(ControllerScope(service.name, parts.clock, current, parts.events, replicas))
+                }
+            controller.tick(view.fleet, engine, view.tracker(service.name)).forEach { send(controller, it) }
+        }
+    }
+
+    private fun send(
+        controller: ReplicaController,
+        order: Order,
+    ) {
+        if (order !is Order.Probe) {
+            val name = order.javaClass.simpleName
+            parts.events.log("order.sent", "order" to name, "worker" to order.worker.id, "fleet" to view.fleet.revision)
+        }
+        workers.send(order) {
+            controller.onResult(order, it)
+            decideSoon()
+        }
+    }
+
+    /** Decides without waiting for the next tick; several results that come together are decided on at once. */
+    private fun decideSoon() {
+        if (due) return
+        due = true
+        parts.scheduler.after(SOON_MS) {
+            due = false
+            decide()
+        }
+    }
+
+    private companion object {
+        const val SOON_MS = 5L
+    }
+}
--- a/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
@@ -3,10 +3,6 @@
  */
 package auburnhall.entry
 
-import auburnhall.core.Clock
-import auburnhall.core.EventListener
-import auburnhall.core.KeyValueStore
-import auburnhall.core.Scheduler
 import auburnhall.core.StoreChange
 import auburnhall.core.StoreError
 import auburnhall.core.StoreItem
@@ -14,7 +10,6 @@
 import auburnhall.core.log
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
-import kotlin.random.Random
 
 /** Told of changes of a mirror, after each batch as a whole. */
 interface MirrorListener {
@@ -34,11 +29,7 @@
 /** Mirrors the keys under [prefix]. Control thread only. */
 class StoreMirror(
     private val prefix: String,
-    private val store: KeyValueStore,
-    private val clock: Clock,
-    private val scheduler: Scheduler,
-    private val random: Random,
-    private val events: EventListener,
+    private val parts: ControlParts,
     private val listener: MirrorListener,
     /** Time, in milliseconds, within which changes are collected to be fetched by one call. */
     private val batchMs: () -> Long,
@@ -60,22 +51,20 @@
         private set
 
     /** Begins to fill the mirror. */
-    fun start() = load()
+    fun start() = loadPage(null, LinkedHashMap(), null)
 
     /** The mirrored item at [key]. */
     fun find(key: String): StoreItem? = items[key]
 
-    private fun load() = loadPage(null, LinkedHashMap(), null)
-
     private fun loadPage(
         after: String?,
         collected: LinkedHashMap<String, StoreItem>,
         firstAt: Long?,
     ) {
-        store.range(prefix, after) { result ->
+        parts.store.range(prefix, after) { result ->
             result
                 .onSuccess { onPage(it, collected, firstAt ?: it.at) }
-                .onFailure { onError(it) { load() } }
+                .onFailure { onError(it) { start() } }
         }
     }
 
@@ -101,34 +90,32 @@
 
     private fun watch() {
         val waitMs = if (disconnected) RECOVERY_WATCH_MS else WATCH_MS
-        store.watch(prefix, revision, waitMs) { result ->
+        parts.store.watch(prefix, revision, waitMs) { result ->
             result
                 .onSuccess { batch ->
                     onContact()
-                    batch.changes.forEach(::apply)
+                    batch.changes.forEach {
+                        when (it) {
+                            is StoreChange.Put -> put(it.item)
+                            is StoreChange.Removed -> remove(it.key, it.revision)
+                        }
+                    }
                     revision = maxOf(revision, batch.at)
                     if (batch.changes.isNotEmpty()) listener.onBatch(revision)
-                    scheduler.after(if (batch.changes.isEmpty()) 0 else batchMs()) { watch() }
+                    parts.scheduler.after(if (batch.changes.isEmpty()) 0 else batchMs()) { watch() }
                 }.onFailure(::onWatchError)
         }
     }
 
     private fun onWatchError(error: StoreError) {
         if (error is StoreError.HistoryGone) {
-            events.log("store.history_gone", "prefix" to prefix, "revision" to revision)
-            load()
+            parts.events.log("store.history_gone", "prefix" to prefix, "revision" to revision)
+            start()
         } else {
             onError(error) { watch() }
         }
     }
 
-    private fun apply(change: StoreChange) {
-        when (change) {
-            is StoreChange.Put -> put(change.item)
-            is StoreChange.Removed -> remove(change.key, change.revision)
-        }
-    }
-
     private fun put(item: StoreItem) {
         items[item.key] = item
         listener.onPut(item)
@@ -145,8 +132,8 @@
         failures = 0
         val since = lostAt ?: return
         lostAt = null
-        regainedAt = clock.nowMs()
-        events.log("store.regained", "prefix" to prefix, "after_ms" to clock.nowMs() - since)
+        regainedAt = parts.clock.nowMs()
+        parts.events.log("store.regained", "prefix" to prefix, "after_ms" to parts.clock.nowMs() - since)
     }
 
     private fun onError(
@@ -154,12 +141,12 @@
         again: () -> Unit,
     ) {
         if (lostAt == null) {
-            lostAt = clock.nowMs()
-            events.log("store.lost", "prefix" to prefix, "error" to error)
+            lostAt = parts.clock.nowMs()
+            parts.events.log("store.lost", "prefix" to prefix, "error" to error)
         }
         val pause = FIRST_PAUSE_MS shl failures.coerceAtMost(MAX_DOUBLINGS)
         failures++
-        scheduler.after(pause + random.nextLong(pause)) { again() }
+        parts.scheduler.after(pause + parts.random.nextLong(pause)) { again() }
     }
 
     private companion object {
--- /dev/null
+++ b/entry/src/main/kotlin/auburnhall/entry/Traffic.kt
@@ -0,0 +1,107 @@
+/*
+ * The traffic thread: the gateway with its parts, and the news of the other processes.
+ */
+package auburnhall.entry
+
+import auburnhall.core.CallerLimits
+import auburnhall.core.Clock
+import auburnhall.core.EventListener
+import auburnhall.core.Replica
+import auburnhall.core.Settings
+import auburnhall.gateway.Decisions
+import auburnhall.gateway.FilterChain
+import auburnhall.gateway.Gateway
+import auburnhall.gateway.GatewayCodecs
+import auburnhall.gateway.GatewayParts
+import auburnhall.gateway.GatewayReports
+import auburnhall.gateway.GatewayRuntime
+import auburnhall.gateway.RetryBudgets
+import auburnhall.http.HttpClient
+import auburnhall.http.HttpServer
+import auburnhall.http.LoopScheduler
+import auburnhall.http.newEventLoop
+import auburnhall.platform.PlatformCallerCodec
+import auburnhall.platform.PlatformWorkerCodec
+import auburnhall.routing.AdmissionPolicy
+import auburnhall.routing.LoadBook
+import auburnhall.routing.RetryBounds
+import auburnhall.routing.Router
+import auburnhall.routing.SilenceMonitor
+import auburnhall.routing.TargetHealth
+import io.netty.channel.EventLoop
+import kotlin.random.Random
+
+/** Serves callers under the settings that [settings] returns. */
+class Traffic(
+    private val settings: () -> Settings,
+    private val clock: Clock,
+    random: Random,
+    listener: EventListener,
+    metrics: EntryMetrics,
+    onSuspect: (Replica) -> Unit,
+) {
+    /** The thread. */
+    val loop: EventLoop = newEventLoop("traffic")
+
+    /** Schedules on the thread. */
+    val scheduler = LoopScheduler(loop)
+    private val load = LoadBook(clock)
+    private val health = TargetHealth(clock)
+    private val silence = SilenceMonitor(clock)
+    private val client = HttpClient(loop, clock)
+    private val parts: GatewayParts =
+        GatewayParts(
+            GatewayRuntime(clock, scheduler, client),
+            GatewayCodecs(PlatformCallerCodec, PlatformWorkerCodec),
+            Decisions(
+                Router(load, health, settings().dataCentre, random, client::hasIdle),
+                load,
+                health,
+                silence,
+                AdmissionPolicy { random.nextDouble() },
+            ),
+            GatewayReports(listener, metrics) { news.tell(it, Finding.SUSPECT) },
+            RetryBudgets(clock, ::retryBounds) { news.processes },
+        )
+
+    /** What the processes tell each other. */
+    val news: PeerNews =
+        PeerNews(settings(), loop, NewsSubjects(load, health, silence, { parts.state.targets }, onSuspect))
+
+    /** Serves requests. */
+    val gateway = Gateway(parts, FilterChain({ parts.state.configuration }, random))
+
+    /** Accepts callers. */
+    val callers = HttpServer(loop, clock, ::limits, gateway)
+
+    /** Whether a configuration is known. */
+    val configured: Boolean get() = parts.state.configuration != null
+
+    init {
+        metrics.gauge("auburnhall_worker_connections", "Connections to workers.") { client.openConnections }
+        metrics.gauge(
+            "auburnhall_worker_connects_total",
+            "Connections to workers that were established.",
+        ) { client.connects }
+        metrics.gauge("auburnhall_queued_requests", "Requests that wait for a place.") { gateway.queued }
+    }
+
+    /** Begins to serve. */
+    fun start() {
+        callers.bind(settings().callers).sync()
+        scheduler.run {
+            news.start(settings().host)
+            tick()
+        }
+    }
+
+    private fun retryBounds(): RetryBounds =
+        settings().bounds.let { RetryBounds(it.retryRatio, it.retryWindowMs, it.retryExtra) }
+
+    private fun limits(): CallerLimits = parts.state.configuration?.limits ?: CallerLimits.DEFAULT
+
+    private fun tick() {
+        gateway.tick()
+        scheduler.after(Gateway.TICK_MS) { tick() }
+    }
+}
--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -16,12 +16,61 @@
 import io.netty.handler.codec.http.HttpHeaders
 import java.io.ByteArrayOutputStream
 
+/** Hears what comes of an attempt. */
+internal interface AttemptListener {
+    /** The worker began to answer with a stream. */
+    fun onStreamHead(
+        from: Attempt,
+        headers: HttpHeaders,
+    )
+
+    /** An event of the stream came whole. */
+    fun onEvent(
+        from: Attempt,
+        event: StreamEvent,
+    )
+
+    /** The stream is complete; [remainder] came after its last event. */
+    fun onStreamEnd(
+        from: Attempt,
+        remainder: ByteArray,
+    )
+
+    /** The worker gave a whole answer that is no stream. */
+    fun onWhole(
+        from: Attempt,
+        read: WorkerAnswer,
+        headers: HttpHeaders,
+        body: ByteArray,
+    )
+
+    /** The worker states that it did not run the request. */
+    fun onNotRun(
+        from: Attempt,
+        read: WorkerAnswer,
+    )
+
+    /** There will be no complete answer. */
+    fun onFailure(
+        from: Attempt,
+        failure: CallFailure,
+    )
+}
+
+/** What an attempt says beside the request. */
+internal data class AttemptTerms(
+    /** The last event that the caller has; null to begin with the first. */
+    val resumeAfter: String?,
+    /** 0 is served first. */
+    val urgency: Int,
+)
+
 internal class Attempt(
     private val parts: GatewayParts,
     private val accepted: AcceptedRequest,
     val target: Target,
-    private val resumeAfter: String?,
-    private val owner: Forwarding,
+    private val terms: AttemptTerms,
+    private val owner: AttemptListener,
 ) : ResponseListener {
     /** When it was sent, or its last event came, by the monotonic clock. */
     var lastEventAt = parts.clock.nowMs()
@@ -45,26 +94,24 @@
 
     fun send() {
         parts.load.begin(target.key, unreadTokens)
-        val terms = WorkerTerms(
-            timeLeftMs = accepted.deadline - parts.clock.nowMs(),
-            workerId = target.worker.id,
-            customer = accepted.customer?.name,
-            resumeAfter = resumeAfter,
-            urgency = owner.priority,
-        )
-        val request = OutboundRequest(
-            accepted.request.method,
-            accepted.request.uri,
-            parts.workerCodec.headers(accepted.request.headers.endToEnd(), terms),
-            accepted.request.body,
-            accepted.terms.id?.let { Correlation(parts.workerCodec.idHeader, it) },
-        )
-        call = parts.client.send(target.worker.address, request, options(), this)
-    }
-
-    private fun options(): CallOptions {
-        val idle = if (accepted.route.repeatable) MAX_IDLE_MS else NON_REPEATABLE_IDLE_MS
-        return CallOptions(CONNECT_TIMEOUT_MS, idle)
+        val told =
+            WorkerTerms(
+                timeLeftMs = accepted.deadline - parts.clock.nowMs(),
+                workerId = target.worker.id,
+                customer = accepted.customer?.name,
+                resumeAfter = terms.resumeAfter,
+                urgency = terms.urgency,
+            )
+        val request =
+            OutboundRequest(
+                accepted.request.method,
+                accepted.request.uri,
+                parts.codecs.worker.headers(accepted.request.headers.endToEnd(), told),
+                accepted.request.body,
+                accepted.terms.id?.let { Correlation(parts.codecs.worker.idHeader, it) },
+            )
+        val idleMs = if (accepted.route.repeatable) MAX_IDLE_MS else NON_REPEATABLE_IDLE_MS
+        call = parts.client.send(target.worker.address, request, CallOptions(CONNECT_TIMEOUT_MS, idleMs), this)
     }
 
     /** Ends the call; nothing more is heard of it. */
@@ -83,7 +130,7 @@
         status: Int,
         headers: HttpHeaders,
     ) {
-        val read = parts.workerCodec.read(status, headers)
+        val read = parts.codecs.worker.read(status, headers)
         answer = read
         this.headers = headers.endToEnd()
         val success = status in SUCCESS
@@ -125,7 +172,10 @@
         when {
             relaying -> owner.onStreamEnd(this, events.remainder)
             read.notRun -> owner.onNotRun(this, read)
-            success && !read.genuine -> fail("answer without the worker's signature")
+            success && !read.genuine ->
+                onFailure(
+                    CallFailure(CallStep.READ_BODY, target.worker.address, "unsigned answer"),
+                )
             else -> owner.onWhole(this, read, checkNotNull(headers), body.toByteArray())
         }
     }
@@ -135,8 +185,6 @@
         owner.onFailure(this, failure)
     }
 
-    private fun fail(cause: String) = owner.onFailure(this, CallFailure(CallStep.READ_BODY, target.worker.address, cause))
-
     private companion object {
         val SUCCESS = 200..299
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
@@ -1,6 +1,6 @@
 /*
- * What the gateway needs to know of the headers of callers and workers. The names of the headers are the platform's and
- * are known to the implementations only.
+ * What the gateway needs to know of the headers of callers and workers. The names of the headers are the platform's
+ * and are known to the implementations only.
  */
 package auburnhall.gateway
 
@@ -25,7 +25,10 @@
 interface CallerCodec {
     fun read(headers: HttpHeaders): CallerTerms
 
-    /** Headers of an answer of our own to the request [id]; [retryAfterMs] is null when the caller is not asked back. */
+    /**
+     * Headers of an answer of our own to the request [id]; [retryAfterMs] is null when the caller is not asked
+     * back.
+     */
     fun refusal(
         id: String?,
         retryAfterMs: Long?,
--- a/gateway/src/main/kotlin/auburnhall/gateway/Filters.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Filters.kt
@@ -1,12 +1,13 @@
 /*
- * The checks that a request passes before it is forwarded, as a chain: each filter refuses it, or adds what it found out
- * and hands it on.
+ * The checks that a request passes before it is forwarded, as a chain: each filter refuses it, or adds what it found
+ * out and hands it on.
  */
 package auburnhall.gateway
 
 import auburnhall.core.Configuration
 import auburnhall.core.Customer
 import auburnhall.core.Route
+import auburnhall.core.WeightedService
 import auburnhall.http.InboundRequest
 import io.netty.handler.codec.http.HttpHeaderNames
 import kotlin.random.Random
@@ -130,9 +131,15 @@
         draft: RequestDraft,
         next: (RequestDraft) -> Verdict,
     ): Verdict {
-        val host = draft.request.headers.get(HttpHeaderNames.HOST)?.substringBefore(':')?.lowercase().orEmpty()
-        val route = draft.configuration?.route(host, draft.request.path)
-            ?: return Verdict.Refuse(NOT_FOUND, "no route for $host${draft.request.path}")
+        val host =
+            draft.request.headers
+                .get(HttpHeaderNames.HOST)
+                ?.substringBefore(':')
+                ?.lowercase()
+                .orEmpty()
+        val route =
+            draft.configuration?.route(host, draft.request.path)
+                ?: return Verdict.Refuse(NOT_FOUND, "no route for $host${draft.request.path}")
         return next(draft.copy(route = route))
     }
 }
@@ -144,10 +151,12 @@
         next: (RequestDraft) -> Verdict,
     ): Verdict {
         val anonymous = draft.route?.anonymous == true || draft.configuration?.needsKeys == false
-        if (anonymous) return next(draft)
         val customer = draft.terms.apiKey?.let { draft.configuration?.customer(it) }
-            ?: return Verdict.Refuse(UNAUTHORIZED, "unknown API key")
-        return next(draft.copy(customer = customer))
+        return when {
+            anonymous -> next(draft)
+            customer == null -> Verdict.Refuse(UNAUTHORIZED, "unknown API key")
+            else -> next(draft.copy(customer = customer))
+        }
     }
 }
 
@@ -170,15 +179,25 @@
         draft: RequestDraft,
         next: (RequestDraft) -> Verdict,
     ): Verdict {
-        val shares = draft.route?.services.orEmpty()
+        val chosen = draw(draft.route?.services.orEmpty())
+        return if (chosen ==
+            null
+        ) {
+            Verdict.Refuse(UNAVAILABLE, "route has no service", RETRY_MS)
+        } else {
+            next(draft.copy(service = chosen))
+        }
+    }
+
+    private fun draw(shares: List<WeightedService>): String? {
         val total = shares.sumOf { it.weight }
-        if (total <= 0) return Verdict.Refuse(UNAVAILABLE, "route has no service", RETRY_MS)
+        if (total <= 0) return null
         var drawn = random.nextInt(total)
-        val chosen = shares.first {
-            drawn -= it.weight
-            drawn < 0
-        }
-        return next(draft.copy(service = chosen.service))
+        return shares
+            .first {
+                drawn -= it.weight
+                drawn < 0
+            }.service
     }
 
     private companion object {
--- /dev/null
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardingRoom.kt
@@ -0,0 +1,31 @@
+/*
+ * The requests that a process has in hand: those that wait for a place, and those that are sent to replicas.
+ */
+package auburnhall.gateway
+
+/** Requests in progress. Traffic thread only. */
+class ForwardingRoom(
+    private val parts: GatewayParts,
+) {
+    private val streams = LinkedHashSet<Forwarding>()
+
+    /** Those that wait. */
+    val waiting = WaitingRoom(parts.clock)
+
+    /** [request] was sent to a replica and is to be looked after. */
+    fun watch(request: Forwarding) {
+        streams.add(request)
+    }
+
+    /** A place may be free. */
+    fun onEnded() {
+        if (waiting.size > 0) parts.scheduler.run { waiting.retry() }
+    }
+
+    /** Serves those that wait and moves streams away from silent replicas. */
+    fun tick() {
+        waiting.retry()
+        streams.removeIf { it.done }
+        streams.toList().forEach { it.checkSilence() }
+    }
+}
--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -13,12 +13,11 @@
     private val parts: GatewayParts,
     private val filters: FilterChain,
 ) : RequestHandler {
-    private val waiting = WaitingRoom(parts.clock)
+    private val room = ForwardingRoom(parts)
     private val starting = StartingRoom(parts.clock, parts.scheduler, ::decide)
-    private val streams = LinkedHashSet<Forwarding>()
 
     /** Requests that wait for a place. */
-    val queued: Int get() = waiting.size
+    val queued: Int get() = room.waiting.size
 
     override fun onRequest(
         request: InboundRequest,
@@ -32,7 +31,7 @@
         request: InboundRequest,
         reply: Reply,
     ) {
-        val terms = parts.callerCodec.read(request.headers)
+        val terms = parts.codecs.caller.read(request.headers)
         when (val verdict = filters.decide(request, terms)) {
             is Verdict.Refuse -> refuse(terms, verdict, reply)
             is Verdict.Accept -> forward(verdict.accepted, reply)
@@ -45,23 +44,31 @@
         parts.health.retain(state.targets::isPresent)
         parts.silence.retain(state.targets::isPresent)
         starting.release()
-        waiting.retry()
+        room.waiting.retry()
     }
 
     /** Looks after waiting requests and silent streams; called every [TICK_MS] milliseconds. */
     fun tick() {
-        waiting.retry()
-        streams.toList().forEach { it.checkSilence() }
+        room.tick()
     }
 
     /** Part of the slots that is taken, by service and model. */
     fun pressure(): Map<String, Map<String, Double>> {
-        val services = parts.state.configuration?.services?.values.orEmpty().filter { it.engine != null }
+        val services =
+            parts.state.configuration
+                ?.services
+                ?.values
+                .orEmpty()
+                .filter { it.engine != null }
         return services.associate { service ->
-            val byModel = parts.state.targets.of(service.name).groupBy { it.model.orEmpty() }
-            service.name to byModel.mapValues { (_, targets) ->
-                targets.sumOf { parts.load.total(it.key).requests }.toDouble() / targets.sumOf { it.slots }
-            }
+            val byModel =
+                parts.state.targets
+                    .of(service.name)
+                    .groupBy { it.model.orEmpty() }
+            service.name to
+                byModel.mapValues { (_, targets) ->
+                    targets.sumOf { parts.load.total(it.key).requests }.toDouble() / targets.sumOf { it.slots }
+                }
         }
     }
 
@@ -69,8 +76,8 @@
         accepted: AcceptedRequest,
         reply: Reply,
     ) {
-        parts.budget(accepted.service).onRequest()
-        Forwarding(parts, accepted, reply, waiting, streams).start()
+        parts.budgets.of(accepted.service).onRequest()
+        Forwarding(parts, accepted, reply, room).start()
     }
 
     private fun refuse(
@@ -86,7 +93,7 @@
             "configuration" to parts.state.configuration?.version,
         )
         parts.metrics.onAnswered("unknown", "refused_${verdict.status}", 0)
-        reply.send(verdict.status, parts.callerCodec.refusal(terms.id, verdict.retryAfterMs), ByteArray(0))
+        reply.send(verdict.status, parts.codecs.caller.refusal(terms.id, verdict.retryAfterMs), ByteArray(0))
     }
 
     companion object {
--- a/gateway/src/main/kotlin/auburnhall/gateway/GatewayParts.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/GatewayParts.kt
@@ -34,31 +34,69 @@
     }
 }
 
-/** The parts of the gateway. */
-class GatewayParts(
+/** The thread that the gateway runs on, and its calls. */
+class GatewayRuntime(
     val clock: Clock,
     val scheduler: Scheduler,
     val client: HttpClient,
-    val callerCodec: CallerCodec,
-    val workerCodec: WorkerCodec,
+)
+
+/** Translates headers. */
+class GatewayCodecs(
+    val caller: CallerCodec,
+    val worker: WorkerCodec,
+)
+
+/** Decides about requests. */
+class Decisions(
     val router: Router,
     val load: LoadBook,
     val health: TargetHealth,
     val silence: SilenceMonitor,
     val admission: AdmissionPolicy,
+)
+
+/** Told of what happens. */
+class GatewayReports(
     val listener: EventListener,
     val metrics: GatewayMetrics,
     val onSuspect: SuspicionListener,
-    private val retryBounds: () -> RetryBounds,
+)
+
+/** The retry budgets of the services. */
+class RetryBudgets(
+    private val clock: Clock,
+    private val bounds: () -> RetryBounds,
     private val processes: () -> Int,
 ) {
-    /** What requests are served under now. */
-    var state: GatewayState = GatewayState.EMPTY
-
     private val budgets = HashMap<String, RetryBudget>()
 
-    /** The retry budget of [service]. */
-    fun budget(service: String): RetryBudget = budgets.getOrPut(service) { RetryBudget(clock, retryBounds, processes) }
+    /** The budget of [service]. */
+    fun of(service: String): RetryBudget = budgets.getOrPut(service) { RetryBudget(clock, bounds, processes) }
+}
+
+/** The parts of the gateway. */
+class GatewayParts(
+    runtime: GatewayRuntime,
+    val codecs: GatewayCodecs,
+    decisions: Decisions,
+    reports: GatewayReports,
+    val budgets: RetryBudgets,
+) {
+    val clock = runtime.clock
+    val scheduler = runtime.scheduler
+    val client = runtime.client
+    val router = decisions.router
+    val load = decisions.load
+    val health = decisions.health
+    val silence = decisions.silence
+    val admission = decisions.admission
+    val listener = reports.listener
+    val metrics = reports.metrics
+    val onSuspect = reports.onSuspect
+
+    /** What requests are served under now. */
+    var state: GatewayState = GatewayState.EMPTY
 }
 
 /** Counts what callers got. */
@@ -74,14 +112,15 @@
     fun onRetry(reason: String)
 
     companion object {
-        val NONE = object : GatewayMetrics {
-            override fun onAnswered(
-                kind: String,
-                outcome: String,
-                tookMs: Long,
-            ) = Unit
+        val NONE =
+            object : GatewayMetrics {
+                override fun onAnswered(
+                    kind: String,
+                    outcome: String,
+                    tookMs: Long,
+                ) = Unit
 
-            override fun onRetry(reason: String) = Unit
-        }
+                override fun onRetry(reason: String) = Unit
+            }
     }
 }
--- a/http/src/main/kotlin/auburnhall/http/CallerReply.kt
+++ b/http/src/main/kotlin/auburnhall/http/CallerReply.kt
@@ -35,13 +35,14 @@
     ) {
         if (done) return
         val content = Unpooled.wrappedBuffer(body)
-        val response = DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1,
-            HttpResponseStatus.valueOf(status),
-            content,
-            headers,
-            EmptyHttpHeaders.INSTANCE,
-        )
+        val response =
+            DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.valueOf(status),
+                content,
+                headers,
+                EmptyHttpHeaders.INSTANCE,
+            )
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         markClosing(headers)
         complete(response)
--- a/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
@@ -58,14 +58,15 @@
     ): OutboundCall {
         val started = ActiveCall(request.correlation, listener)
         call = started
-        val message = DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            request.method,
-            request.uri,
-            Unpooled.wrappedBuffer(request.body),
-            request.headers.copy(),
-            EmptyHttpHeaders.INSTANCE,
-        )
+        val message =
+            DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method,
+                request.uri,
+                Unpooled.wrappedBuffer(request.body),
+                request.headers.copy(),
+                EmptyHttpHeaders.INSTANCE,
+            )
         if (request.body.isNotEmpty() || request.method != HttpMethod.GET) {
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
         }
@@ -175,13 +176,24 @@
     private companion object {
         const val FIRST_FINAL_STATUS = 200
 
-        /** Part of the peer's idle timeout for which a connection is reused, so that a request never crosses its close. */
+        /**
+         * Part of the peer's idle timeout for which a connection is reused, so that a request never crosses its
+         * close.
+         */
         const val IDLE_SHARE = 0.7
         const val MS_PER_SECOND = 1_000
         val TIMEOUT = Regex("timeout=(\\d+)")
 
         fun idleLimit(response: HttpResponse): Long {
-            val stated = response.headers().get("Keep-Alive")?.let { TIMEOUT.find(it) }?.groupValues?.get(1)?.toLongOrNull()
+            val stated =
+                response
+                    .headers()
+                    .get(
+                        "Keep-Alive",
+                    )?.let { TIMEOUT.find(it) }
+                    ?.groupValues
+                    ?.get(1)
+                    ?.toLongOrNull()
             return stated?.let { (it * MS_PER_SECOND * IDLE_SHARE).toLong() } ?: Long.MAX_VALUE
         }
     }
--- a/http/src/main/kotlin/auburnhall/http/Headers.kt
+++ b/http/src/main/kotlin/auburnhall/http/Headers.kt
@@ -6,19 +6,20 @@
 import io.netty.handler.codec.http.DefaultHttpHeadersFactory
 import io.netty.handler.codec.http.HttpHeaders
 
-private val CONNECTION_HEADERS = setOf(
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "content-length",
-    "expect",
-)
+private val CONNECTION_HEADERS =
+    setOf(
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "expect",
+    )
 
 /** Headers without validation, for those that were received valid. */
 fun newHeaders(): HttpHeaders = DefaultHttpHeadersFactory.headersFactory().withValidation(false).newHeaders()
--- a/http/src/main/kotlin/auburnhall/http/HttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpClient.kt
@@ -57,13 +57,14 @@
         peer: Address,
         maxIdleMs: Long,
     ): ClientConnection? {
-        val resting = idle[peer] ?: return null
+        val resting = idle[peer]
         val now = clock.nowMs()
-        while (true) {
-            val newest = resting.removeLastOrNull() ?: return null
-            if (newest.usable(now, maxIdleMs)) return newest
+        var newest = resting?.removeLastOrNull()
+        while (newest != null && !newest.usable(now, maxIdleMs)) {
             newest.close()
+            newest = resting?.removeLastOrNull()
         }
+        return newest
     }
 
     private fun connect(
@@ -74,13 +75,14 @@
     ): OutboundCall {
         val connection = ClientConnection(peer, clock, this)
         val pending = PendingConnect(connection, request, listener)
-        val future = Bootstrap()
-            .group(loop)
-            .channel(NioSocketChannel::class.java)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, options.connectTimeoutMs)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .handler(initializer(connection))
-            .connect(peer.host, peer.port)
+        val future =
+            Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel::class.java)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, options.connectTimeoutMs)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .handler(initializer(connection))
+                .connect(peer.host, peer.port)
         pending.await(future)
         return pending
     }
@@ -143,4 +145,5 @@
     }
 }
 
-internal fun describe(cause: Throwable?): String = cause?.let { "${it.javaClass.simpleName}: ${it.message}" } ?: "unknown"
+internal fun describe(cause: Throwable?): String =
+    cause?.let { "${it.javaClass.simpleName}: ${it.message}" } ?: "unknown"
--- a/http/src/main/kotlin/auburnhall/http/HttpServer.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpServer.kt
@@ -39,14 +39,15 @@
 
     /** Listens at [address]; the future fails when the port is taken. */
     fun bind(address: Address): ChannelFuture {
-        val future = ServerBootstrap()
-            .group(loop, loop)
-            .channel(NioServerSocketChannel::class.java)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(initializer())
-            .bind(address.host, address.port)
+        val future =
+            ServerBootstrap()
+                .group(loop, loop)
+                .channel(NioServerSocketChannel::class.java)
+                .option(ChannelOption.SO_BACKLOG, BACKLOG)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(initializer())
+                .bind(address.host, address.port)
         listener = future.channel()
         return future
     }
--- a/http/src/main/kotlin/auburnhall/http/ShortCall.kt
+++ b/http/src/main/kotlin/auburnhall/http/ShortCall.kt
@@ -40,10 +40,11 @@
         val collector = Collector(peer, done)
         val options = CallOptions(timeoutMs.toInt(), MAX_IDLE_MS)
         val call = client.send(peer, request, options, collector)
-        collector.timeout = scheduler.after(timeoutMs) {
-            call.cancel()
-            collector.finish(ShortResult.Failed(peer, "no response within $timeoutMs ms", sent = true))
-        }
+        collector.timeout =
+            scheduler.after(timeoutMs) {
+                call.cancel()
+                collector.finish(ShortResult.Failed(peer, "no response within $timeoutMs ms", sent = true))
+            }
         if (collector.finished) collector.timeout?.cancel()
         return call
     }
--- /dev/null
+++ b/replica/src/main/kotlin/auburnhall/replica/ControllerScope.kt
@@ -0,0 +1,37 @@
+/*
+ * What the parts of a controller share.
+ */
+package auburnhall.replica
+
+import auburnhall.core.Clock
+import auburnhall.core.EventListener
+
+/** Told what the controller finds out of replicas that take requests. */
+interface ReplicaListener {
+    /** All members of [key] have just answered. */
+    fun onSound(key: ReplicaEpoch)
+
+    /** [key] is taken apart and must get no more requests. */
+    fun onBreaking(key: ReplicaEpoch)
+}
+
+/** One controller's term; epochs of a later term are higher. */
+class ControllerTerm(
+    private val firstEpoch: Long,
+    /** Whether no request was served before this term, when loads are not limited. */
+    val firstStart: Boolean,
+) {
+    private var used = 0L
+
+    /** An epoch that was not used before. */
+    fun nextEpoch(): Long = firstEpoch + used++
+}
+
+/** The surroundings of the controller of [service]. */
+class ControllerScope(
+    val service: String,
+    val clock: Clock,
+    val term: ControllerTerm,
+    val events: EventListener,
+    val replicas: ReplicaListener,
+)
--- a/replica/src/main/kotlin/auburnhall/replica/Forming.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Forming.kt
@@ -20,8 +20,7 @@
 
 /** A replica that is being formed. */
 class Forming(
-    val replica: String,
-    val epoch: Long,
+    val key: ReplicaEpoch,
     val model: String,
     /** In rank order, the head first. */
     val members: List<Worker>,
@@ -30,7 +29,7 @@
     /** Whether it only keeps weights ready and never takes requests. */
     val spare: Boolean,
     /** Replicas that each member, by id, has to leave before it joins, since their heads may still take requests. */
-    toLeave: Map<String, Set<ReplicaEpoch>> = emptyMap(),
+    toLeave: Map<String, Set<ReplicaEpoch>>,
 ) {
     private val unleft = toLeave.mapValues { it.value.toMutableSet() }
     private val accepted = HashSet<String>()
@@ -48,15 +47,10 @@
     /** Whether the head took the order to open. */
     var openAccepted = false
 
-    val key = ReplicaEpoch(replica, epoch)
-
     val head: Worker get() = members.first()
     val ids: List<String> = members.map { it.id }
     val complete: Boolean get() = ready.size == members.size
 
-    /** Whether [membership] is that of a member of this replica at this epoch. */
-    fun matches(membership: Membership?): Boolean = membership?.key == key
-
     /** A replica that [worker] has to leave; null when it may join. */
     fun toLeave(worker: Worker): ReplicaEpoch? = unleft[worker.id]?.firstOrNull()
 
@@ -78,7 +72,7 @@
         worker: Worker,
         membership: Membership?,
     ) {
-        if (!matches(membership)) return
+        if (membership?.key != key) return
         accepted.add(worker.id)
         if (membership?.state != MemberState.JOINING) ready.add(worker.id)
         if (worker.id == head.id && membership?.state == MemberState.OPEN) openSeen = true
@@ -102,6 +96,9 @@
         return true
     }
 
+    /** The order that lets it take requests. */
+    fun open() = Order.Open(head, key.replica, key.epoch)
+
     /** Whether it is time to order the head to open; notes that it is ordered at [now]. */
     fun openDue(
         now: Long,
--- /dev/null
+++ b/replica/src/main/kotlin/auburnhall/replica/Joins.kt
@@ -0,0 +1,58 @@
+/*
+ * The orders that bring members into a replica.
+ */
+package auburnhall.replica
+
+import auburnhall.core.Clock
+import auburnhall.core.ReplicaName
+import auburnhall.core.Worker
+
+/** Remembers what each worker was last ordered to join. Control thread only. */
+class Joins(
+    private val clock: Clock,
+) {
+    private val last = HashMap<WorkerStart, ReplicaEpoch>()
+
+    /** The model that [worker] was last ordered to hold since its start. */
+    fun lastModel(worker: Worker): String? = last[worker.start]?.let { ReplicaName.modelOf(it.replica) }
+
+    /**
+     * Replicas whose head may still count [worker] as a member: the one it reports, and the last that it was to
+     * join.
+     */
+    fun toLeave(worker: Worker): Set<ReplicaEpoch> = setOfNotNull(worker.membership?.key, last[worker.start])
+
+    /** Forgets starts that are not [listed]. */
+    fun retain(listed: Set<WorkerStart>) {
+        last.keys.retainAll(listed)
+    }
+
+    /** The orders to members of [replica] that are not ready. */
+    fun orders(replica: Forming): List<Order> =
+        replica.members.filter { !replica.isReady(it) }.mapNotNull { worker ->
+            val accepted = replica.isAccepted(worker)
+            val period = if (accepted) READY_POLL_MS else JOIN_RETRY_MS
+            when {
+                !replica.due(worker, clock.nowMs(), period) -> null
+                accepted -> if (replica.spare) null else Order.Probe(worker)
+                else -> leaveOrJoin(replica, worker)
+            }
+        }
+
+    private fun leaveOrJoin(
+        replica: Forming,
+        worker: Worker,
+    ): Order {
+        replica.toLeave(worker)?.let { return Order.Leave(worker, it.replica, it.epoch) }
+        last[worker.start] = replica.key
+        return Order.Join(worker, replica.key.replica, replica.key.epoch, replica.model, replica.ids)
+    }
+
+    private companion object {
+        /** Time after which an order without an answer is sent again. */
+        const val JOIN_RETRY_MS = 500L
+
+        /** Time between questions whether a member is ready. */
+        const val READY_POLL_MS = 200L
+    }
+}
--- a/replica/src/main/kotlin/auburnhall/replica/Layout.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Layout.kt
@@ -16,7 +16,10 @@
     /** Part of a domain's workers that is held in reserve. */
     private const val RESERVE_SHARE = 0.15
 
-    /** Replicas, as a multiple of what its work calls for beside the shortest model, beyond which a model gets no more. */
+    /**
+     * Replicas, as a multiple of what its work calls for beside the shortest model, beyond which a model gets no
+     * more.
+     */
     private const val SURPLUS = 1.2
 
     private const val MIN_DEMAND = 0.001
@@ -39,6 +42,7 @@
         val nominal = sizes.values.maxOrNull() ?: 0
         val most = nominal - reserve(nominal)
         val room = sizes.mapValues { (_, workers) -> minOf(workers, most) }
+        if (models.isEmpty()) return sizes.mapValues { emptyMap() }
         return best(models.sortedByDescending { it.size }, Draft(room, emptyMap()), models).byDomain(sizes.keys)
     }
 
@@ -47,10 +51,13 @@
         draft: Draft,
         all: List<Model>,
     ): Draft {
-        val model = models.firstOrNull() ?: return draft
+        val model = models.first()
         val rest = models.drop(1)
         if (rest.isEmpty()) return draft.fill(model, all)
-        return draft.steps(model).map { best(rest, it, all) }.maxWith(compareBy({ it.shortest(all) }, { it.replicas }))
+        return draft
+            .steps(model)
+            .map { best(rest, it, all) }
+            .maxWith(compareBy({ it.shortest(all) }, { it.replicas }))
     }
 
     private class Draft(
@@ -82,12 +89,16 @@
         private fun count(model: Model) = placed.filterKeys { it.second == model.name }.values.sum()
 
         private fun add(model: Model): Draft? {
-            val domain = room.entries
-                .filter { it.value >= model.size }
-                .minWithOrNull(compareBy({ placed[it.key to model.name] ?: 0 }, { -it.value }, { it.key }))
-                ?.key ?: return null
+            val domain =
+                room.entries
+                    .filter { it.value >= model.size }
+                    .minWithOrNull(compareBy({ placed[it.key to model.name] ?: 0 }, { -it.value }, { it.key }))
+                    ?.key ?: return null
             val key = domain to model.name
-            return Draft(room + (domain to room.getValue(domain) - model.size), placed + (key to (placed[key] ?: 0) + 1))
+            return Draft(
+                room + (domain to room.getValue(domain) - model.size),
+                placed + (key to (placed[key] ?: 0) + 1),
+            )
         }
     }
 }
--- a/replica/src/main/kotlin/auburnhall/replica/Losses.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Losses.kt
@@ -1,5 +1,5 @@
 /*
- * Which workers are taken for lost: those that do not answer the controller, until they answer again or start anew.
+ * Which workers are taken for lost or slow, by their answers to probes, until they answer otherwise or start anew.
  */
 package auburnhall.replica
 
@@ -21,41 +21,42 @@
     private val clock: Clock,
 ) {
     private val missed = HashMap<WorkerStart, Int>()
-    private val lost = HashMap<WorkerStart, Long>()
-    private val askedAt = HashMap<WorkerStart, Long>()
-    private val slow = HashMap<WorkerStart, Long>()
+    private val lost = Marks()
+    private val slow = Marks()
+    private val asked = Marks()
     private val probing = HashSet<WorkerStart>()
 
     /** Whether [worker] is taken for lost. */
     fun isLost(worker: Worker): Boolean = worker.start in lost
 
+    /** Whether [worker] is so slow that its replica is better off without it. */
+    fun isSlow(worker: Worker): Boolean = worker.start in slow
+
     /** Whether [worker] may be probed now; then a probe is on its way until [onAnswer] or [onMissed]. */
     fun beginProbe(worker: Worker): Boolean = probing.add(worker.start)
 
+    /** [worker] answered. */
+    fun onAnswer(worker: Worker) {
+        probing.remove(worker.start)
+        missed.remove(worker.start)
+        lost.clear(worker.start)
+    }
+
     /** [worker] answered that it works [pace] times slower than usual. */
     fun onPace(
         worker: Worker,
         pace: Double,
     ) {
-        if (pace >= SLOW_PACE) slow[worker.start] = clock.nowMs() else slow.remove(worker.start)
-    }
-
-    /** Whether [worker] is so slow that its replica is better off without it. */
-    fun isSlow(worker: Worker): Boolean = worker.start in slow
-
-    /** [worker] answered. */
-    fun onAnswer(worker: Worker) {
-        probing.remove(worker.start)
-        missed.remove(worker.start)
-        lost.remove(worker.start)
+        if (pace >= SLOW_PACE) slow.mark(worker.start, clock.nowMs()) else slow.clear(worker.start)
     }
 
     /** [worker] did not answer; returns whether it is lost from now on. */
     fun onMissed(worker: Worker): Boolean {
         probing.remove(worker.start)
         val count = missed.merge(worker.start, 1, Int::plus) ?: 1
-        if (count < MISSED_LIMIT) return false
-        return lost.put(worker.start, clock.nowMs()) == null
+        val newlyLost = count >= MISSED_LIMIT && worker.start !in lost
+        if (newlyLost) lost.mark(worker.start, clock.nowMs())
+        return newlyLost
     }
 
     /** Whether a first probe of [worker] was missed and it is to be asked again. */
@@ -64,15 +65,15 @@
     /** Whether [worker], which is not listed, is to be asked again whether it is still there. */
     fun unlistedDue(worker: Worker): Boolean {
         val now = clock.nowMs()
-        if (now - (askedAt[worker.start] ?: -RECHECK_MS) < RECHECK_MS) return false
-        askedAt[worker.start] = now
-        return true
+        val due = worker.start !in asked || asked.due(worker.start, now)
+        if (due) asked.mark(worker.start, now)
+        return due
     }
 
     /** Lost and slow workers of [fleet] that are worth another probe. */
     fun toRecheck(fleet: Fleet): List<Worker> {
         val now = clock.nowMs()
-        return fleet.workers.values.filter { isDue(lost, it, now) or isDue(slow, it, now) }
+        return fleet.workers.values.filter { lost.due(it.start, now) or slow.due(it.start, now) }
     }
 
     /** Forgets starts that are neither listed nor [unlisted] members of replicas that take requests. */
@@ -82,20 +83,40 @@
     ) {
         val listed = (fleet.workers.values + unlisted).mapTo(HashSet()) { it.start }
         missed.keys.retainAll(listed)
-        lost.keys.retainAll(listed)
-        slow.keys.retainAll(listed)
         probing.retainAll(listed)
-        askedAt.keys.retainAll(listed)
+        listOf(lost, slow, asked).forEach { it.retain(listed) }
     }
 
-    private fun isDue(
-        since: HashMap<WorkerStart, Long>,
-        worker: Worker,
-        now: Long,
-    ): Boolean {
-        val due = since[worker.start]?.let { now - it >= RECHECK_MS } == true
-        if (due) since[worker.start] = now
-        return due
+    /** Starts of workers with the time at which each was marked or last found due. */
+    private class Marks {
+        private val since = HashMap<WorkerStart, Long>()
+
+        operator fun contains(start: WorkerStart) = start in since
+
+        fun mark(
+            start: WorkerStart,
+            now: Long,
+        ) {
+            since[start] = now
+        }
+
+        fun clear(start: WorkerStart) {
+            since.remove(start)
+        }
+
+        /** Whether [start] was marked long enough ago; if so, it is marked anew. */
+        fun due(
+            start: WorkerStart,
+            now: Long,
+        ): Boolean {
+            val due = since[start]?.let { now - it >= RECHECK_MS } == true
+            if (due) since[start] = now
+            return due
+        }
+
+        fun retain(listed: Set<WorkerStart>) {
+            since.keys.retainAll(listed)
+        }
     }
 
     private companion object {
@@ -105,7 +126,7 @@
         /** A replica runs at the pace of its slowest member; a new one is formed within about a second. */
         const val SLOW_PACE = 2.0
 
-        /** Time, in milliseconds, between probes of a lost worker that is still listed. */
+        /** Time, in milliseconds, between probes of a worker that was found lost or slow, or is not listed. */
         const val RECHECK_MS = 1_000L
     }
 }
--- /dev/null
+++ b/replica/src/main/kotlin/auburnhall/replica/MemberWatch.kt
@@ -0,0 +1,86 @@
+/*
+ * Finds out whether the members of replicas are there: those of replicas that fell silent, those that missed a probe,
+ * and those whose entries are missing from the list.
+ */
+package auburnhall.replica
+
+import auburnhall.core.Fleet
+import auburnhall.core.Replica
+import auburnhall.core.ReplicaTracker
+import auburnhall.core.Worker
+import auburnhall.core.log
+
+/** Probes members and judges their answers. Control thread only. */
+class MemberWatch(
+    private val scope: ControllerScope,
+) {
+    private val losses = Losses(scope.clock)
+    private val suspects = LinkedHashSet<ReplicaEpoch>()
+    private val unheard = LinkedHashMap<ReplicaEpoch, MutableSet<WorkerStart>>()
+
+    /** A process has heard nothing from the replica [key] for too long. */
+    fun onSuspect(key: ReplicaEpoch) {
+        suspects.add(key)
+    }
+
+    /** Whether [worker] is taken for lost. */
+    fun isLost(worker: Worker): Boolean = losses.isLost(worker)
+
+    /** Whether [worker] holds up its replica. */
+    fun isSlow(worker: Worker): Boolean = losses.isSlow(worker)
+
+    /** Whether [worker] can be a member of a replica. */
+    fun isUsable(worker: Worker): Boolean = !worker.draining && !losses.isLost(worker) && !losses.isSlow(worker)
+
+    /** The probes to send now. */
+    fun probes(
+        fleet: Fleet,
+        tracker: ReplicaTracker,
+    ): List<Order> {
+        val unlisted = tracker.open.flatMap { tracker.missing(it, fleet) }
+        losses.retain(fleet, unlisted)
+        val silent = takeSuspects(tracker.open)
+        val doubtful = (fleet.ofService(scope.service) + unlisted).filter { losses.isDoubtful(it) }
+        val due = losses.toRecheck(fleet) + unlisted.filter { losses.unlistedDue(it) }
+        val wanted = silent.flatMap { it.members } + doubtful + due
+        return wanted.distinctBy { it.start }.filter { losses.beginProbe(it) }.map { Order.Probe(it) }
+    }
+
+    /** [worker] answered a probe. */
+    fun onReport(
+        worker: Worker,
+        report: OrderResult.Report,
+    ) {
+        losses.onAnswer(worker)
+        losses.onPace(worker, report.pace)
+        unheard.values.forEach { it.remove(worker.start) }
+        val sound = unheard.filterValues { it.isEmpty() }.keys.toList()
+        sound.forEach {
+            unheard.remove(it)
+            scope.replicas.onSound(it)
+        }
+    }
+
+    /** [worker] answered an order. */
+    fun onAnswer(worker: Worker) = losses.onAnswer(worker)
+
+    /** [worker] did not answer. */
+    fun onNoAnswer(
+        worker: Worker,
+        cause: String,
+    ) {
+        if (losses.onMissed(worker)) scope.events.log("worker.lost", "worker" to worker.id, "cause" to cause)
+    }
+
+    /** The replica [key] is taken apart; whether its members answer no longer matters. */
+    fun forget(key: ReplicaEpoch) {
+        unheard.remove(key)
+    }
+
+    private fun takeSuspects(open: List<Replica>): List<Replica> {
+        val silent = open.filter { ReplicaEpoch(it.name, it.epoch) in suspects }
+        suspects.clear()
+        silent.forEach { of -> unheard[ReplicaEpoch(of.name, of.epoch)] = of.members.mapTo(HashSet()) { it.start } }
+        return silent
+    }
+}
--- a/replica/src/main/kotlin/auburnhall/replica/Orders.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Orders.kt
@@ -26,14 +26,6 @@
         val epoch: Long,
     ) : Order
 
-    /** Take no more requests; those in progress end, or are broken off at once where [preempt]. */
-    data class Close(
-        override val worker: Worker,
-        val replica: String,
-        val epoch: Long,
-        val preempt: Boolean,
-    ) : Order
-
     /** Leave the replica at once. */
     data class Leave(
         override val worker: Worker,
--- a/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
@@ -1,18 +1,22 @@
 /*
- * Chooses the members of the next replicas and what spares hold. Answers the steady loss of members: a replica is formed
- * from workers that already hold its model, so that it is back within a second.
+ * Chooses the members of the next replicas and what spares hold. Answers the steady loss of members: a replica is
+ * formed from workers that already hold its model, so that it is back within a second.
  */
 package auburnhall.replica
 
 import auburnhall.core.Model
-import auburnhall.core.ReplicaName
 import auburnhall.core.Worker
 
 /** Workers that belong to no replica, by domain. */
 class FreeWorkers(
     workers: List<Worker>,
 ) {
-    private val byDomain = workers.groupBy { it.fabricDomain.orEmpty() }.mapValues { it.value.toMutableList() }.toMutableMap()
+    private val byDomain =
+        workers
+            .groupBy {
+                it.fabricDomain.orEmpty()
+            }.mapValues { it.value.toMutableList() }
+            .toMutableMap()
 
     /** Domains with a free worker. */
     val domains: Set<String> get() = byDomain.filterValues { it.isNotEmpty() }.keys
@@ -37,8 +41,8 @@
     /** The model that [worker] was last ordered to hold since its start; null when not known. */
     fun lastModel(worker: Worker): String?
 
-    /** Whether [worker] has been free long enough that others of its domain are listed, too. */
-    fun isSettled(worker: Worker): Boolean
+    /** For how long, in milliseconds, [worker] has been free. */
+    fun freeMs(worker: Worker): Long
 
     /** Part of the slots of the model's replicas that is taken, from 0; null when not known. */
     fun pressure(model: String): Double?
@@ -52,38 +56,49 @@
     private val free: FreeWorkers,
     private val facts: PlacementFacts,
 ) {
-    private val plan = Layout.plan(sizes, models)
+    private val holdings = Holdings(models, facts)
     private val counts = serving.toMutableMap()
+    private val wholePlan = Layout.plan(sizes.mapValues { sizes.values.max() }, models)
+
+    /** Replicas by domain and model that there are to be. */
+    val plan: Map<String, DomainPlan> = Layout.plan(sizes, models)
 
     /** The next replica to form; null when there is none. */
     fun next(): Placement? {
-        val order = models.sortedWith(compareBy({ -(facts.pressure(it.name) ?: 0.0) }, { totalOf(it) / Layout.demand(it) }))
-        for (model in order) {
-            val placement = free.domains.sorted().firstNotNullOfOrNull { place(model, it) } ?: continue
-            free.take(placement.members)
-            counts.merge(placement.members.first().fabricDomain.orEmpty() to model.name, 1, Int::plus)
-            return placement
-        }
-        return null
+        val fullestFirst = compareBy<Model>({ -(facts.pressure(it.name) ?: 0.0) }, { totalOf(it) / Layout.demand(it) })
+        val domains = free.domains.sorted()
+        val placement =
+            models.sortedWith(fullestFirst).firstNotNullOfOrNull { model ->
+                domains.firstNotNullOfOrNull { place(model, it) }
+            }
+        placement?.let(::take)
+        return placement
+    }
+
+    private fun take(placement: Placement) {
+        free.take(placement.members)
+        val domain =
+            placement.members
+                .first()
+                .fabricDomain
+                .orEmpty()
+        counts.merge(domain to placement.model.name, 1, Int::plus)
     }
 
-    /** What each free worker that holds no model is to load, at most [loads] from the weight store. */
-    fun spares(loads: Int): List<Placement> {
-        var room = loads
-        val placements = ArrayList<Placement>()
-        for (domain in free.domains.sorted()) {
-            val held = free.of(domain).mapNotNull { heldModel(it) }.groupingBy { it }.eachCount().toMutableMap()
-            for (worker in free.of(domain).filter { !holdsAny(it) && facts.isSettled(it) }) {
-                val model = stagedModel(worker) ?: spareModel(domain, held) ?: continue
-                val staged = model.name in worker.stagedModels
-                if (!staged && room <= 0) continue
-                if (!staged) room--
-                held.merge(model.name, 1, Int::plus)
-                placements.add(Placement(model, listOf(worker)))
+    private fun place(
+        model: Model,
+        domain: String,
+    ): Placement? {
+        val wanted = plan[domain]?.get(model.name) ?: 0
+        if ((counts[domain to model.name] ?: 0) >= wanted) return null
+        val short = isShort(model)
+        val usable =
+            free.of(domain).filter {
+                holdings.warmth(it, model) != Warmth.OTHER ||
+                    (short && isSpare(it, domain))
             }
-        }
-        placements.forEach { free.take(it.members) }
-        return placements
+        val ranked = usable.sortedWith(compareBy({ holdings.warmth(it, model) }, { it.id }))
+        return if (ranked.size < model.size) null else Placement(model, ranked.take(model.size))
     }
 
     /** Whether replicas of [model] are so few, or so full, that spares of other models are used for it. */
@@ -94,93 +109,29 @@
         return pressed || totalOf(model) < planned * SHORT_SHARE
     }
 
-    /** Whether [domain] holds all the replicas that it is to hold of the model of [worker]. */
-    private fun isSpare(
-        worker: Worker,
-        domain: String,
-    ): Boolean {
-        val held = heldModel(worker) ?: stagedModel(worker)?.name ?: return true
-        return (counts[domain to held] ?: 0) >= (plan[domain]?.get(held) ?: 0)
-    }
-
     /**
-     * Second models for free workers that hold one: what a spare keeps on its host covers the replicas of another model
-     * of its domain. At most [loads] are fetched.
+     * Whether [domain] holds all the replicas of the model of [worker] that it holds when it is whole, or is not going to
+     * be whole again soon.
      */
-    fun secondModels(loads: Int): List<Placement> =
-        free.domains.sorted().flatMap { domain -> free.of(domain).mapNotNull { second(it, domain) } }.take(loads)
-
-    private fun second(
+    private fun isSpare(
         worker: Worker,
         domain: String,
-    ): Placement? {
-        val held = worker.membership?.replica?.let { ReplicaName.modelOf(it) } ?: return null
-        if (worker.stagedModels.any { it != held }) return null
-        val other = models
-            .filter { it.name != held && (plan[domain]?.get(it.name) ?: 0) > 0 }
-            .maxByOrNull { it.size } ?: return null
-        return Placement(other, listOf(worker))
+    ): Boolean {
+        val model = holdings.held(worker) ?: holdings.staged(worker)?.name
+        val filled = model == null || (counts[domain to model] ?: 0) >= (wholePlan[domain]?.get(model) ?: 0)
+        return filled || facts.freeMs(worker) >= RETURN_MS
     }
 
     private fun totalOf(model: Model) = counts.filterKeys { it.second == model.name }.values.sum()
 
-    private fun place(
-        model: Model,
-        domain: String,
-    ): Placement? {
-        val wanted = plan[domain]?.get(model.name) ?: 0
-        val workers = free.of(domain)
-        if ((counts[domain to model.name] ?: 0) >= wanted) return null
-        val short = isShort(model)
-        val usable = workers.filter { warmth(it, model) != Warmth.OTHER || (short && isSpare(it, domain)) }
-        if (usable.size < model.size) return null
-        val ranked = usable.sortedWith(compareBy({ warmth(it, model) }, { it.id }))
-        return Placement(model, ranked.take(model.size))
-    }
-
-    /** The model whose members in [domain] are covered by the fewest spares, of which [held] are there by model. */
-    private fun spareModel(
-        domain: String,
-        held: Map<String, Int>,
-    ): Model? {
-        fun spares(model: Model) = held[model.name] ?: 0
-
-        fun members(model: Model) = (plan[domain]?.get(model.name) ?: 0) * model.size
-        val here = models.filter { members(it) > 0 }.ifEmpty { models }
-        return here.maxWithOrNull(compareBy({ members(it) / (spares(it) + 1) }, { -spares(it) }))
-    }
-
-    /** The model that is on the host already, so that nothing has to be fetched. */
-    private fun stagedModel(worker: Worker): Model? = models.firstOrNull { it.name in worker.stagedModels }
-
-    private fun heldModel(worker: Worker): String? =
-        worker.membership?.replica?.let { ReplicaName.modelOf(it) }
-            ?: facts.lastModel(worker)
-            ?: worker.loadedModels.firstOrNull()
-
-    private fun holdsAny(worker: Worker) = heldModel(worker) != null
-
-    private fun warmth(
-        worker: Worker,
-        model: Model,
-    ): Warmth {
-        val held = heldModel(worker)
-        return when {
-            held == model.name -> Warmth.LOADED
-            model.name in worker.stagedModels -> Warmth.STAGED
-            held == null && stagedModel(worker) == null -> Warmth.COLD
-            else -> Warmth.OTHER
-        }
-    }
-
     private companion object {
         /** Part of the planned replicas below which a model is short. */
         const val SHORT_SHARE = 0.7
 
+        /** Time in which the workers of a dark domain return after the first, in milliseconds. */
+        const val RETURN_MS = 4_000L
+
         /** Part of the slots beyond which a model is full for its latency. */
         const val PRESSED = 0.6
     }
-
-    /** How soon a worker serves a model, the soonest first. */
-    private enum class Warmth { LOADED, STAGED, COLD, OTHER }
 }
--- a/routing/src/main/kotlin/auburnhall/routing/Admission.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Admission.kt
@@ -1,8 +1,8 @@
 /*
- * When a request is sent, waits, or is refused because its targets are full. Answers bursts and the loss of replicas: a
- * request waits as long as its caller is likely to get something out of it, and is refused at once when so many wait
- * that its turn would come too late. Those that can still be on time go first, so that a backlog does not make every
- * later request late as well.
+ * When a request is sent, waits, or is refused because its targets are full. Answers bursts and the loss of replicas:
+ * a request waits as long as its caller is likely to get something out of it, and is refused at once when so many
+ * wait that its turn would come too late. Those that can still be on time go first, so that a backlog does not make
+ * every later request late as well.
  */
 package auburnhall.routing
 
--- a/routing/src/main/kotlin/auburnhall/routing/LoadBook.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/LoadBook.kt
@@ -1,7 +1,7 @@
 /*
- * How much work each target has: our own requests at once, those of the other processes as they last told. A prompt that
- * is not read yet weighs more than an answer that is being written, since reading holds up all other requests of a
- * replica.
+ * How much work each target has: our own requests at once, those of the other processes as they last told. A prompt
+ * that is not read yet weighs more than an answer that is being written, since reading holds up all other requests of
+ * a replica.
  */
 package auburnhall.routing
 
--- a/routing/src/main/kotlin/auburnhall/routing/TargetHealth.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/TargetHealth.kt
@@ -19,14 +19,6 @@
         record.avoidUntil = clock.nowMs() + (FIRST_PAUSE_MS shl exponent)
     }
 
-    /** A request to [key] got an answer. */
-    fun onSuccess(key: TargetKey) {
-        records[key]?.let {
-            it.failures = 0
-            it.avoidUntil = 0
-        }
-    }
-
     /** A request to [key] was answered; [error] where the answer is a failure of the worker's own. */
     fun onAnswer(
         key: TargetKey,
@@ -35,7 +27,10 @@
         val record = records.getOrPut(key) { Record() }
         record.errorShare += ((if (error) 1.0 else 0.0) - record.errorShare) * ERROR_WEIGHT
         if (error && failsOften(key)) record.avoidUntil = clock.nowMs() + OFTEN_PAUSE_MS
-        if (!error) onSuccess(key)
+        if (!error) {
+            record.failures = 0
+            record.avoidUntil = 0
+        }
     }
 
     /** Whether [key] fails so many requests that the failure is likely its own and not the request's. */
--- /dev/null
+++ b/test/src/main/kotlin/auburnhall/test/FakeKeyValueStore.kt
@@ -0,0 +1,186 @@
+/*
+ * The store in memory, with the faults that tests script.
+ */
+package auburnhall.test
+
+import auburnhall.core.Address
+import auburnhall.core.KeyValueStore
+import auburnhall.core.Scheduler
+import auburnhall.core.StoreCallback
+import auburnhall.core.StoreChange
+import auburnhall.core.StoreChanges
+import auburnhall.core.StoreError
+import auburnhall.core.StoreItem
+import auburnhall.core.StoreLease
+import auburnhall.core.StorePage
+import auburnhall.core.StoreTransaction
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import java.util.TreeMap
+
+/** A store whose answers come after [delayMs] milliseconds. */
+class FakeKeyValueStore(
+    private val scheduler: Scheduler,
+    private val delayMs: Long = 1,
+) : KeyValueStore {
+    private val items = TreeMap<String, StoreItem>()
+    private val history = ArrayList<Pair<Long, StoreChange>>()
+    private val leases = HashMap<Long, MutableSet<String>>()
+    private val watches = ArrayList<Watch>()
+    private var revision = 1L
+    private var nextLease = 100L
+    private var forgottenBefore = 0L
+
+    /** What calls get while the store is away; null while it answers. */
+    var outage: StoreError? = null
+
+    /** Whether writes are done but not answered. */
+    var losesAnswers = false
+
+    /** Number of calls of each kind. */
+    val calls = HashMap<String, Int>()
+
+    /** Writes [value] as the operator or a worker would. */
+    fun put(
+        key: String,
+        value: String,
+    ) {
+        write(key, value.toByteArray())
+    }
+
+    /** Removes [key]. */
+    fun remove(key: String) {
+        if (items.remove(key) == null) return
+        record(StoreChange.Removed(key, ++revision))
+    }
+
+    /** Forgets all changes until now. */
+    fun compact() {
+        forgottenBefore = revision
+        history.clear()
+        watches.toList().forEach { it.finish(Err(StoreError.HistoryGone)) }
+    }
+
+    /** Lets [lease] run out. */
+    fun expire(lease: Long) {
+        leases.remove(lease)?.forEach(::remove)
+    }
+
+    /** Leases that run. */
+    val runningLeases: Set<Long> get() = leases.keys
+
+    override fun range(
+        prefix: String,
+        afterKey: String?,
+        done: StoreCallback<StorePage>,
+    ) = answer("range", done) {
+        val found = items.tailMap(afterKey ?: "", afterKey == null).filterKeys { it.startsWith(prefix) }.values
+        Ok(StorePage(found.take(PAGE), found.size > PAGE, revision))
+    }
+
+    override fun watch(
+        prefix: String,
+        revision: Long,
+        waitMs: Long,
+        done: StoreCallback<StoreChanges>,
+    ) {
+        count("watch")
+        val watch = Watch(prefix, revision, done)
+        watches.add(watch)
+        scheduler.after(waitMs) { watch.finish(Ok(StoreChanges(emptyList(), revision))) }
+        scheduler.after(delayMs) { watch.look() }
+    }
+
+    override fun commit(
+        transaction: StoreTransaction,
+        done: StoreCallback<Long>,
+    ) = answer("commit", done) {
+        val holds = transaction.expected.all { (key, at) -> (items[key]?.revision ?: 0) == at }
+        if (holds) {
+            transaction.puts.forEach { put ->
+                write(put.key, put.value)
+                leases[put.lease]?.add(put.key)
+            }
+            transaction.removes.forEach(::remove)
+            if (losesAnswers) Err(LOST) else Ok(revision)
+        } else {
+            Err(StoreError.Conflict)
+        }
+    }
+
+    override fun grantLease(
+        ttlMs: Long,
+        done: StoreCallback<StoreLease>,
+    ) = answer("grant", done) {
+        val id = nextLease++
+        leases[id] = HashSet()
+        Ok(StoreLease(id, ttlMs))
+    }
+
+    override fun renewLease(
+        lease: Long,
+        done: StoreCallback<Unit>,
+    ) = answer("renew", done) { if (lease in leases) Ok(Unit) else Err(StoreError.NoSuchLease) }
+
+    override fun endLease(
+        lease: Long,
+        done: StoreCallback<Unit>,
+    ) = answer("end", done) {
+        expire(lease)
+        Ok(Unit)
+    }
+
+    override fun reconnect() = watches.toList().forEach { it.finish(Err(LOST)) }
+
+    private fun <T> answer(
+        name: String,
+        done: StoreCallback<T>,
+        result: () -> Result<T, StoreError>,
+    ) {
+        count(name)
+        scheduler.after(delayMs) { done(outage?.let { Err(it) } ?: result()) }
+    }
+
+    private fun count(name: String) {
+        calls.merge(name, 1, Int::plus)
+    }
+
+    private fun write(
+        key: String,
+        value: ByteArray,
+    ) {
+        val item = StoreItem(key, value, ++revision)
+        items[key] = item
+        record(StoreChange.Put(item))
+    }
+
+    private fun record(change: StoreChange) {
+        history.add(revision to change)
+        watches.toList().forEach { it.look() }
+    }
+
+    private inner class Watch(
+        private val prefix: String,
+        private val after: Long,
+        private val done: StoreCallback<StoreChanges>,
+    ) {
+        fun look() {
+            val changes = history.filter { it.first > after && it.second.key.startsWith(prefix) }.map { it.second }
+            when {
+                outage != null -> finish(Err(checkNotNull(outage)))
+                after < forgottenBefore -> finish(Err(StoreError.HistoryGone))
+                changes.isNotEmpty() -> finish(Ok(StoreChanges(changes, revision)))
+            }
+        }
+
+        fun finish(result: Result<StoreChanges, StoreError>) {
+            if (watches.remove(this)) done(result)
+        }
+    }
+
+    private companion object {
+        const val PAGE = 50
+        val LOST = StoreError.NoAnswer(Address("127.0.0.1", 1), "lost")
+    }
+}
