--- /dev/null
+++ b/gateway/src/test/kotlin/auburnhall/gateway/EventSplitterTest.kt
@@ -0,0 +1,37 @@
+package auburnhall.gateway
+
+import org.junit.jupiter.api.Assertions.assertArrayEquals
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+class EventSplitterTest {
+    private val stream = "id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nweight-versions: 3\nid: 30\ndata: c\n\n"
+
+    @Test
+    fun `events are the same however the bytes arrive`() {
+        val seed = 7L
+        println("seed = $seed")
+        val random = Random(seed)
+        repeat(200) {
+            val splitter = EventSplitter()
+            val events = ArrayList<StreamEvent>()
+            var rest = stream.toByteArray()
+            while (rest.isNotEmpty()) {
+                val size = random.nextInt(1, rest.size + 1)
+                events += splitter.add(rest.copyOfRange(0, size))
+                rest = rest.copyOfRange(size, rest.size)
+            }
+            assertEquals(listOf(1L, 2L, 30L), events.map { it.id })
+            assertArrayEquals(stream.toByteArray(), events.map { it.bytes }.reduce { a, b -> a + b })
+            assertEquals(0, splitter.remainder.size)
+        }
+    }
+
+    @Test
+    fun `an event that is not whole is kept back`() {
+        val splitter = EventSplitter()
+        assertEquals(1, splitter.add("id: 1\ndata: a\n\nid: 2\nda".toByteArray()).size)
+        assertEquals("id: 2\nda", String(splitter.remainder))
+    }
+}
--- /dev/null
+++ b/routing/src/test/kotlin/auburnhall/routing/DecisionsTest.kt
@@ -0,0 +1,89 @@
+package auburnhall.routing
+
+import auburnhall.test.FakeScheduler
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertFalse
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+
+class DecisionsTest {
+    private val time = FakeScheduler()
+    private val key = TargetKey("m/1@1")
+
+    @Test
+    fun `all processes together stay within the stated bound of retries`() {
+        val bounds = RetryBounds(ratio = 0.2, windowMs = 10_000, extra = 302)
+        val budgets = List(20) { RetryBudget(time, { bounds }, { 20 }) }
+        budgets.forEach { of -> repeat(50) { of.onRequest() } }
+        val granted = budgets.sumOf { of -> generateSequence { of.tryRetry() }.takeWhile { it }.count() }
+        assertTrue(granted <= 0.2 * 1_000 + 302, "granted $granted")
+        assertTrue(granted >= 300, "granted $granted")
+    }
+
+    @Test
+    fun `the budget is there again after its window`() {
+        val budget = RetryBudget(time, { RetryBounds(0.0, 10_000, 10) }, { 1 })
+        assertEquals(8, generateSequence { budget.tryRetry() }.takeWhile { it }.count())
+        time.advance(10_001)
+        assertTrue(budget.tryRetry())
+    }
+
+    @Test
+    fun `a full replica lets requests wait, and refuses those whose turn comes too late`() {
+        val policy = AdmissionPolicy { 0.0 }
+        val full = Choice.Full(target("x"), 19)
+        assertEquals(Admission.Wait, policy.decide(full, Waiting(waitedMs = 0, ahead = 2, sentLastSecond = 10)))
+        val late = policy.decide(full, Waiting(waitedMs = 0, ahead = 40, sentLastSecond = 10))
+        assertTrue(late is Admission.Refuse && late.retryAfterMs > 0)
+        assertTrue(policy.decide(full, Waiting(waitedMs = 1_200, ahead = 0, sentLastSecond = 10)) is Admission.Refuse)
+    }
+
+    @Test
+    fun `without a target a request is refused at once`() {
+        val refused = AdmissionPolicy { 0.5 }.decide(Choice.None, Waiting(0, 0, 0))
+        assertTrue(refused is Admission.Refuse && refused.reason == "no target")
+    }
+
+    @Test
+    fun `a replica that is silent for longer than a pass is suspected, then lost unless found sound`() {
+        val silence = SilenceMonitor(time)
+        time.advance(1_000)
+        assertEquals(Silence.NONE, silence.judge(key, waitingSince = 800, started = true))
+        assertEquals(Silence.SUSPECT, silence.judge(key, waitingSince = 690, started = true))
+        assertEquals(Silence.LOST, silence.judge(key, waitingSince = 600, started = true))
+        silence.onHeard(key)
+        assertEquals(Silence.NONE, silence.judge(key, waitingSince = 600, started = true))
+    }
+
+    @Test
+    fun `a request that reads its prompt is given more time`() {
+        val silence = SilenceMonitor(time)
+        time.advance(1_000)
+        assertEquals(Silence.NONE, silence.judge(key, waitingSince = 400, started = false))
+        assertEquals(Silence.SUSPECT, silence.judge(key, waitingSince = 290, started = false))
+    }
+
+    @Test
+    fun `a worker that fails many requests is told from requests that fail anywhere`() {
+        val health = TargetHealth(time)
+        repeat(20) { health.onAnswer(key, error = it % 7 == 0) }
+        assertFalse(health.failsOften(key))
+        repeat(4) { health.onAnswer(key, error = true) }
+        assertTrue(health.failsOften(key))
+        assertTrue(health.isAvoided(key))
+        time.advance(1_100)
+        assertFalse(health.isAvoided(key))
+    }
+
+    @Test
+    fun `a cleared replica takes requests at once, a lost one only under another epoch`() {
+        val health = TargetHealth(time)
+        health.suspect(key)
+        assertTrue(health.isAvoided(key))
+        health.clear(key)
+        assertFalse(health.isAvoided(key))
+        health.markLost(key)
+        health.clear(key)
+        assertTrue(health.isSuspect(key))
+    }
+}
--- /dev/null
+++ b/routing/src/test/kotlin/auburnhall/routing/RouterTest.kt
@@ -0,0 +1,68 @@
+package auburnhall.routing
+
+import auburnhall.test.FakeScheduler
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.Test
+import kotlin.random.Random
+
+class RouterTest {
+    private val time = FakeScheduler()
+    private val load = LoadBook(time)
+    private val health = TargetHealth(time)
+    private val router = Router(load, health, "a", Random(1)) { true }
+    private val targets = listOf(target("x"), target("y"), target("z"))
+
+    private fun chosen(tried: Set<TargetKey> = emptySet()): String =
+        (router.choose(Demand("s", "m", tried), targets) as Choice.Send).target.worker.id
+
+    @Test
+    fun `sends to the target with the least work of all processes`() {
+        load.begin(targets[0].key, 0)
+        load.begin(targets[0].key, 0)
+        load.onTold("peer", mapOf(targets[1].key.text.hashCode() to TargetLoad(3, 0)))
+        repeat(20) { assertEquals("z", chosen()) }
+    }
+
+    @Test
+    fun `a prompt that is not read yet weighs more than answers that are written`() {
+        load.begin(targets[0].key, 4_000)
+        repeat(3) { load.begin(targets[1].key, 0) }
+        repeat(6) { load.begin(targets[2].key, 0) }
+        repeat(20) { assertEquals("y", chosen()) }
+    }
+
+    @Test
+    fun `load that a process told long ago no longer counts`() {
+        load.onTold("peer", mapOf(targets[0].key.text.hashCode() to TargetLoad(9, 0)))
+        time.advance(2_000)
+        assertEquals(0, load.total(targets[0].key).requests)
+    }
+
+    @Test
+    fun `avoids suspected and failing targets while there are others`() {
+        health.suspect(targets[0].key)
+        health.onFailure(targets[1].key)
+        repeat(20) { assertEquals("z", chosen()) }
+    }
+
+    @Test
+    fun `uses a failing target rather than none, and a suspected one last`() {
+        health.suspect(targets[0].key)
+        health.onFailure(targets[1].key)
+        repeat(20) { assertEquals("y", chosen(setOf(targets[2].key))) }
+    }
+
+    @Test
+    fun `says that all are full with the least loaded one`() {
+        targets.forEach { of -> repeat(18) { load.begin(of.key, 0) } }
+        load.end(targets[1].key, 0)
+        load.begin(targets[1].key, 0)
+        assertTrue(router.choose(Demand("s", "m"), targets) is Choice.Full)
+    }
+
+    @Test
+    fun `has no choice once every target was tried`() {
+        assertEquals(Choice.None, router.choose(Demand("s", "m", targets.mapTo(HashSet()) { it.key }), targets))
+    }
+}
