--- a/ctl/src/test/kotlin/auburnhall/ctl/ExplanationTest.kt
+++ b/ctl/src/test/kotlin/auburnhall/ctl/ExplanationTest.kt
@@ -8,18 +8,44 @@
 class ExplanationTest {
     private val log =
         listOf(
-            """ 1.0 edge {"at":"2026-01-01T00:00:01Z","process":"p1","event":"replica.suspected","request":"r1","target":"m/1@1"}""",
-            """{"at":"2026-01-01T00:00:02Z","process":"p2","event":"replica.breaking","replica":"m/1@1","cause":"member i-3 lost"}""",
-            """{"at":"2026-01-01T00:00:03Z","process":"p1","event":"request.retried","request":"r1","reason":"silent"}""",
-            """{"at":"2026-01-01T00:00:04Z","process":"p1","event":"request.ended","request":"r1","outcome":"served",""" +
-                """"targets":"m/1@1,m/2@2","took_ms":2400}""",
-            """{"at":"2026-01-01T00:00:05Z","process":"p1","event":"request.ended","request":"r2","outcome":"refused",""" +
-                """"reason":"targets full","targets":"","took_ms":900}""",
-            """{"at":"2026-01-01T00:00:06Z","process":"p1","event":"request.ended","request":"r3","outcome":"broken_off",""" +
-                """"cause":"Connection reset","targets":"i-9@1","took_ms":40}""",
+            " 1.0 edge " + line(1, "p1", "replica.suspected", "request" to "r1", "target" to "m/1@1"),
+            line(2, "p2", "replica.breaking", "replica" to "m/1@1", "cause" to "member i-3 lost"),
+            line(3, "p1", "request.retried", "request" to "r1", "reason" to "silent"),
+            ended(4, "r1", "served", listOf("targets" to "m/1@1,m/2@2", "took_ms" to "2400")),
+            ended(5, "r2", "refused", listOf("reason" to "targets full", "targets" to "", "took_ms" to "900")),
+            ended(
+                6,
+                "r3",
+                "broken_off",
+                listOf("cause" to "Connection reset", "targets" to "i-9@1", "took_ms" to "40"),
+            ),
             "no line of ours",
         ).mapNotNull { LogLine.parse(it) }
 
+    private fun ended(
+        second: Int,
+        request: String,
+        outcome: String,
+        fields: List<Pair<String, String>>,
+    ) = json(second, "p1", "request.ended", listOf("request" to request, "outcome" to outcome) + fields)
+
+    private fun line(
+        second: Int,
+        process: String,
+        event: String,
+        vararg fields: Pair<String, String>,
+    ) = json(second, process, event, fields.asList())
+
+    private fun json(
+        second: Int,
+        process: String,
+        event: String,
+        fields: List<Pair<String, String>>,
+    ): String {
+        val all = listOf("at" to "2026-01-01T00:00:0${second}Z", "process" to process, "event" to event) + fields
+        return all.joinToString(",", "{", "}") { (name, value) -> "\"$name\":\"$value\"" }
+    }
+
     @Test
     fun `a late answer is traced to the member that was lost`() {
         val explanation = Explanation("r1", log)
--- a/gateway/src/test/kotlin/auburnhall/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/GatewayTest.kt
@@ -160,7 +160,8 @@
     ) = "HTTP/1.1 $status\r\nid: $id\r\n${stamp}content-length: ${body.length}\r\n\r\n$body"
 
     private fun stream(vararg ids: Int) =
-        "HTTP/1.1 200 OK\r\nid: q1\r\nstamp: s\r\ncontent-type: text/event-stream\r\ntransfer-encoding: chunked\r\n\r\n" +
+        "HTTP/1.1 200 OK\r\nid: q1\r\nstamp: s\r\ncontent-type: text/event-stream\r\n" +
+            "transfer-encoding: chunked\r\n\r\n" +
             ids.joinToString("") { chunk("id: $it\ndata: e$it\n\n") }
 
     private fun chunk(text: String) = "${text.length.toString(radix = 16)}\r\n$text\r\n"
@@ -184,7 +185,7 @@
         val first = worker(Script.Reset(cut), Script.Send(stream(3, 4) + end))
         val second = worker(Script.Reset(cut), Script.Send(stream(3, 4) + end))
         serve(first, second)
-        // Whichever worker is chosen first breaks off; the other one would, too, but for the event it is told to go on after.
+        // Whichever worker is chosen first breaks off; the other one is told after which event to go on.
         val answer = call("/stream/x")
         val resumed = (first.requests + second.requests).filter { it.contains("after: 2") }
         assertEquals(1, resumed.size)
--- a/process-test/src/test/kotlin/auburnhall/process/EntryProcess.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/EntryProcess.kt
@@ -84,10 +84,11 @@
     private fun settingsText(
         name: String,
         storePort: Int,
-    ) =
-        """{"node_name":"$name","ip":"127.0.0.1","zone":"z1","listen":{"front":"127.0.0.1:$port","ready":"127.0.0.1:$readiness"},
+    ) = """{"node_name":"$name","ip":"127.0.0.1","zone":"z1",
+        "listen":{"front":"127.0.0.1:$port","ready":"127.0.0.1:$readiness"},
         "internal_ports":[${free[2]},${free[2]}],"bootstrap":true,"bounds":{"grace_s":8,"retry_budget_ratio":0.2,
-        "budget_window_s":10,"retry_budget_extra":100},"platform":{"address":"127.0.0.1:$storePort","ttl_min_ms":1000}}"""
+        "budget_window_s":10,"retry_budget_extra":100},
+        "platform":{"address":"127.0.0.1:$storePort","ttl_min_ms":1000}}"""
 
     private companion object {
         const val OK = 200
--- a/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
@@ -110,8 +110,8 @@
     }
 
     /**
-     * Whether [domain] holds all the replicas of the model of [worker] that it holds when it is whole, or is not going to
-     * be whole again soon.
+     * Whether [domain] holds all the replicas of the model of [worker] that it holds when it is whole, or is not going
+     * to be whole again soon.
      */
     private fun isSpare(
         worker: Worker,
--- a/replica/src/test/kotlin/auburnhall/replica/WorkerWorld.kt
+++ b/replica/src/test/kotlin/auburnhall/replica/WorkerWorld.kt
@@ -140,7 +140,8 @@
     ) {
         val worker = byId.getValue(order.worker.id)
         val lost = random.nextDouble() < ordersLost && order !is Order.Probe
-        if (!worker.alive || !worker.reachable || worker.bornAt != order.worker.bornAt || lost) {
+        val there = worker.alive && worker.reachable && worker.bornAt == order.worker.bornAt
+        if (!there || lost) {
             val late = lost && random.nextBoolean()
             if (late) scheduler.after(LATE_MS) { carryOut(worker, order) }
             scheduler.after(TIMEOUT_MS) { from.onResult(order, OrderResult.NoAnswer("timeout")) }
@@ -166,8 +167,18 @@
         order: Order.Join,
     ): OrderResult {
         val current = worker.membership
-        if (order.epoch < worker.highestEpoch) return OrderResult.Refused(412)
-        if (current?.replica == order.replica && current.epoch == order.epoch) return OrderResult.Begun
+        val same = current?.replica == order.replica && current.epoch == order.epoch
+        return when {
+            order.epoch < worker.highestEpoch -> OrderResult.Refused(412)
+            same -> OrderResult.Begun
+            else -> begin(worker, order)
+        }
+    }
+
+    private fun begin(
+        worker: FakeWorker,
+        order: Order.Join,
+    ): OrderResult {
         checkNotInOpenReplica(worker, order)
         worker.highestEpoch = order.epoch
         worker.members = order.members
@@ -221,8 +232,8 @@
         order: Order.Open,
     ): OrderResult {
         val current = worker.membership
-        if (current?.replica != order.replica || current.epoch != order.epoch) return OrderResult.Refused(409)
-        if (current.state == MemberState.JOINING) return OrderResult.Refused(409)
+        val same = current?.replica == order.replica && current.epoch == order.epoch
+        if (!same || current.state == MemberState.JOINING) return OrderResult.Refused(409)
         val unready = worker.members.filter { Triple(order.replica, order.epoch, it) !in everReady }
         if (unready.isNotEmpty()) broken.add("PARTIAL: ${order.replica} opened without $unready")
         worker.membership = current.copy(state = MemberState.OPEN)
--- a/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
@@ -1,5 +1,6 @@
 /*
- * A small platform on loopback: the store with a configuration, model workers in two fabric domains, and a plain worker.
+ * A small platform on loopback: the store with a configuration, model workers in two fabric domains, and a plain
+ * worker.
  */
 package auburnhall.standin
 
@@ -88,7 +89,8 @@
              {"name":"assistant","size":2,"share":1.0,"pace":1.0,"load_s":0.1,"warm_s":0.1}],"report_lag_ms":50,
              "loads_per_s":50,"loads_at_once":50,"form_ms":0,"step_ms":1,"stride":1,"read_per_s":100000}},
              {"name":"orders","max_connections":100}],
-            "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+            "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,
+             "idle_timeout_ms":15000},
             "tenants":[{"name":"shop","api_keys":["demo-key"],"priority":1}]}"""
     }
 }
--- a/standin/src/main/kotlin/auburnhall/standin/StandinStore.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinStore.kt
@@ -61,7 +61,10 @@
             path == "kv-txn" && body != null -> commit(body, reply)
             path == "kv-lease" && body != null -> grant(body.getValue("ttl_ms").jsonPrimitive.long, reply)
             path.startsWith("kv-keep/") -> keep(path.substringAfter('/').toLong(), reply)
-            path.startsWith("kv-lease-end/") -> end(path.substringAfter('/').toLong(), reply)
+            path.startsWith("kv-lease-end/") -> {
+                expire(path.substringAfter('/').toLong())
+                reply.answer(OK) { }
+            }
             else -> reply.answer(NOT_FOUND) { }
         }
     }
@@ -133,14 +136,6 @@
         reply.answer(if (lease == null) NOT_FOUND else OK) { put("ttl_ms", lease?.ttlMs ?: 0) }
     }
 
-    private fun end(
-        id: Long,
-        reply: Reply,
-    ) {
-        expire(id)
-        reply.answer(OK) { }
-    }
-
     private fun expire(id: Long) {
         leases.remove(id)
         items.values.filter { it.lease == id }.forEach { remove(it.key) }
@@ -152,17 +147,6 @@
         watches.toList().forEach { it.look() }
     }
 
-    private fun Reply.answer(
-        status: Int,
-        build: JsonObjectBuilder.() -> Unit,
-    ) = send(
-        status,
-        newHeaders().set("Content-Type", "application/json"),
-        buildJsonObject(build).toString().toByteArray(),
-    )
-
-    private fun JsonObject.text(name: String): String = (getValue(name) as JsonPrimitive).contentOrNull.orEmpty()
-
     private inner class Watch(
         private val prefix: String,
         private val after: Long,
@@ -216,3 +200,14 @@
         const val PAGE = 50
     }
 }
+
+private fun Reply.answer(
+    status: Int,
+    build: JsonObjectBuilder.() -> Unit,
+) = send(
+    status,
+    newHeaders().set("Content-Type", "application/json"),
+    buildJsonObject(build).toString().toByteArray(),
+)
+
+private fun JsonObject.text(name: String): String = (getValue(name) as JsonPrimitive).contentOrNull.orEmpty()
--- a/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
@@ -78,7 +78,10 @@
                     reply,
                 )
             place.domain != null -> stream(request, reply)
-            else -> plain(request, reply)
+            else -> {
+                runs++
+                reply.send(OK, signed(request, place.id), "{\"number\":$runs}".toByteArray())
+            }
         }
     }
 
@@ -119,11 +122,11 @@
     ) {
         val served = group
         if (served?.state != "open") {
-            reply.send(UNAVAILABLE, signed(request).set("Not-Executed", "1"), ByteArray(0))
+            reply.send(UNAVAILABLE, signed(request, place.id).set("Not-Executed", "1"), ByteArray(0))
             return
         }
         runs++
-        reply.start(OK, signed(request).set("Content-Type", "text/event-stream"))
+        reply.start(OK, signed(request, place.id).set("Content-Type", "text/event-stream"))
         val last = request.headers.get("Last-Event-Id")?.toInt() ?: 0
         next(served, reply, last + 1)
     }
@@ -147,20 +150,6 @@
         }
     }
 
-    private fun plain(
-        request: InboundRequest,
-        reply: Reply,
-    ) {
-        runs++
-        reply.send(OK, signed(request), "{\"number\":$runs}".toByteArray())
-    }
-
-    private fun signed(request: InboundRequest) =
-        newHeaders().set("Response-Stamp", "standin.${place.id}").set(
-            "Attempt-Id",
-            request.headers.get("Attempt-Id") ?: "",
-        )
-
     private fun publish() {
         if (alive) platform.store.put(key, buildJsonObject { describe() }.toString())
     }
@@ -179,11 +168,6 @@
         group?.let { put("group", it.json(place.id)) }
     }
 
-    private fun Reply.json(
-        status: Int,
-        build: JsonObjectBuilder.() -> Unit,
-    ) = send(status, newHeaders(), buildJsonObject(build).toString().toByteArray())
-
     private data class Group(
         val name: String,
         val epoch: Long,
@@ -215,3 +199,16 @@
         const val EVENTS = 40
     }
 }
+
+private fun Reply.json(
+    status: Int,
+    build: JsonObjectBuilder.() -> Unit,
+) = send(status, newHeaders(), buildJsonObject(build).toString().toByteArray())
+
+private fun signed(
+    request: InboundRequest,
+    worker: String,
+) = newHeaders().set("Response-Stamp", "standin.$worker").set(
+    "Attempt-Id",
+    request.headers.get("Attempt-Id") ?: "",
+)
