Hand the store's changes on between processes instead of watching in each

Change: only the controller watches the store at all times. The others ask a process above them in a tree that each works out from the names it knows (16 below each), over HTTP on the internal port. Each answer states how old it is; what is older than 1.2 s is asked of the store itself, as is everything while the process above fails, so that the bounds for configurations and draining hold when the controller is lost, frozen or cut off.

Ruled out: longer batches (600 to 1,500 ms saves half at most, and uses up the bound of 2 s); watches of op/ only with workers by datagram (a burst of a dark domain is 6 MB for the controller's link of 14 Mbit/s); serializable reads (may be older than the bound).

A unit test found that the controller could get a parent of its own, and that a process that was refused asked again only after its source had stopped keeping itself current.

Also: the event of a renewed connection to the store had the name of a field in it.

--- a/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
+++ b/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
@@ -24,16 +24,19 @@
 sealed interface StoreChange {
     val key: String
 
+    /** The store's revision of the change. */
+    val revision: Long
+
     class Put(
         val item: StoreItem,
     ) : StoreChange {
         override val key: String get() = item.key
+        override val revision: Long get() = item.revision
     }
 
     class Removed(
         override val key: String,
-        /** The store's revision of the removal. */
-        val revision: Long,
+        override val revision: Long,
     ) : StoreChange
 }
 
--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -3,6 +3,7 @@
  */
 package auburnhall.entry
 
+import auburnhall.core.Address
 import auburnhall.core.Clock
 import auburnhall.core.EventListener
 import auburnhall.core.KeyValueStore
@@ -34,13 +35,16 @@
     private val parts: ControlParts,
     workers: WorkerCalls,
     listener: ControlListener,
+    connect: (name: String, address: Address) -> ChangeSource,
 ) : MirrorListener,
-    LeadershipListener {
-    private val view = StoreView(parts.settings.processName, parts.events, listener, parts.clock, ::storeWasAway)
-    private val mirror: StoreMirror =
-        StoreMirror("", parts, this) {
-            if (leadership.isLeading) CONTROLLER_BATCH_MS else FOLLOWER_BATCH_MS
-        }
+    LeadershipListener,
+    RelayPeers {
+    private val mirror: StoreMirror = StoreMirror(parts, this, ControlPace())
+    private val view =
+        StoreView(parts.settings.processName, parts.events, listener, parts.clock) { mirror.storeWasAway }
+
+    /** Hands changes on to other processes. */
+    val relay = RelayServer(parts.clock, parts.scheduler, mirror)
     private val registration = Registration(parts)
     private val leadership: Leadership = Leadership(parts, this)
 
@@ -50,6 +54,14 @@
     /** Whether this process controls the replicas. May be read on any thread. */
     val isLeading: Boolean get() = leadership.isLeading
 
+    override val controller: String? get() = mirror.find(Leadership.CONTROLLER_KEY)?.let { Leadership.holderOf(it) }
+
+    override val hosts: Map<String, String> get() = view.peers
+
+    init {
+        mirror.relays = Relays(parts, this, connect)
+    }
+
     /** Begins; call on the control thread. */
     fun start() {
         replicas.mayOrder = { leadership.isLeading }
@@ -77,6 +89,7 @@
 
     override fun onBatch(revision: Long) {
         seekLeadership()
+        relay.onChanges()
         view.publish(revision)
     }
 
@@ -93,22 +106,25 @@
 
     private fun tick() {
         view.expire()
+        mirror.checkAge()
         leadership.check()
         seekLeadership()
         replicas.decide()
         parts.scheduler.after(TICK_MS) { tick() }
     }
 
-    private fun storeWasAway(): Boolean {
-        val regained = mirror.regainedAt
-        return mirror.disconnected || (regained != null && parts.clock.nowMs() - regained < LAPSE_MS)
+    private inner class ControlPace : MirrorPace {
+        override val batchMs: Long
+            get() = if (leadership.isLeading || relay.isAsked) RELAY_BATCH_MS else FOLLOWER_BATCH_MS
+
+        override val waitMs: Long get() = if (relay.isAsked) RELAY_WAIT_MS else LONGEST_WAIT_MS
     }
 
     private companion object {
         const val TICK_MS = 100L
 
-        /** The controller waits for what workers report. */
-        const val CONTROLLER_BATCH_MS = 100L
+        /** The controller and the processes below those that hand changes on wait for what workers report. */
+        const val RELAY_BATCH_MS = 100L
 
         /** A small part of the time within which draining workers and new configurations must be known. */
         const val FOLLOWER_BATCH_MS = 600L
@@ -116,8 +132,11 @@
         /** Epochs of one term; more than any term uses. */
         const val EPOCHS_PER_REVISION = 100_000L
 
-        /** Time after the store is back in which its leases may still lapse, in milliseconds. */
-        const val LAPSE_MS = 2_500L
+        /** While others take changes from this process, it asks the store at least this often, to know its own age. */
+        const val RELAY_WAIT_MS = 200L
+
+        /** Otherwise the store answers at least this often; then a process above this one may be there again. */
+        const val LONGEST_WAIT_MS = 3_000L
 
         /** Terms after this many revisions are not the first of the system. */
         const val FIRST_REVISIONS = 1_000L
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -4,6 +4,7 @@
 package auburnhall.entry
 
 import auburnhall.core.Address
+import auburnhall.core.CallerLimits
 import auburnhall.core.Clock
 import auburnhall.core.Configuration
 import auburnhall.core.Fleet
@@ -12,6 +13,7 @@
 import auburnhall.core.log
 import auburnhall.gateway.GatewayState
 import auburnhall.http.HttpClient
+import auburnhall.http.HttpServer
 import auburnhall.http.LoopScheduler
 import auburnhall.http.ShortCaller
 import auburnhall.http.newEventLoop
@@ -58,6 +60,7 @@
         traffic.start()
         pages.serveReadiness(traffic.loop, settings.readiness)
         pages.serveMetrics(controlLoop, Address(settings.host, metricsPort))
+        serveRelay()
         control.run { plane.start() }
         traffic.scheduler.run { countPressure() }
     }
@@ -92,7 +95,12 @@
         val caller = ShortCaller(client, control)
         val store = HttpStore(client, caller) { settings.store }
         val parts = ControlParts(settings, store, clock, control, random, log)
-        return ControlPlane(parts, WorkerCalls(caller), bridge)
+        return ControlPlane(parts, WorkerCalls(caller), bridge) { name, peer -> PeerSource(name, peer, caller) }
+    }
+
+    private fun serveRelay() {
+        val server = HttpServer(controlLoop, clock, { CallerLimits.DEFAULT }, plane.relay)
+        server.bind(Address(settings.host, settings.peerPort)).sync()
     }
 
     private fun countPressure() {
--- a/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
@@ -131,6 +131,9 @@
         /** Names the controlling process. */
         const val CONTROLLER_KEY = "auburnhall/controller"
 
+        /** The process that [item], the one under that key, names. */
+        fun holderOf(item: StoreItem): String = String(item.value).substringBefore(' ')
+
         /** Replicas that lose a member while there is no controller stay down for this long, in milliseconds. */
         private const val TTL_MS = 2_000L
         private const val RENEW_MS = 600L
--- a/entry/src/main/kotlin/auburnhall/entry/Registration.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Registration.kt
@@ -61,7 +61,7 @@
             return
         }
         if (error is StoreError.NoAnswer) {
-            parts.events.log("parts.store.reconnecting", "error" to error)
+            parts.events.log("store.reconnecting", "error" to error)
             parts.store.reconnect()
         }
         parts.scheduler.after(RETRY_MS) { renew(lease) }
--- /dev/null
+++ b/entry/src/main/kotlin/auburnhall/entry/Relays.kt
@@ -0,0 +1,61 @@
+/*
+ * Chooses the source of the store's changes: a process above this one in the tree, or the store itself while there is
+ * none, when it fails, or when what it says is too old.
+ */
+package auburnhall.entry
+
+import auburnhall.core.Address
+import auburnhall.core.log
+
+/** What is known of the other processes. */
+interface RelayPeers {
+    /** The process that controls the replicas; null while none is known. */
+    val controller: String?
+
+    /** The hosts of the other processes, by name. */
+    val hosts: Map<String, String>
+}
+
+/** Chooses sources for this process. Control thread only. */
+class Relays(
+    private val parts: ControlParts,
+    private val peers: RelayPeers,
+    private val connect: (name: String, address: Address) -> ChangeSource,
+) {
+    private val store = StoreSource(parts.store)
+    private val pausedUntil = HashMap<String, Long>()
+    private var current: String? = null
+
+    /** The source to ask next, when what this process knows is [ageMs] old; null when it knows nothing. */
+    fun next(ageMs: Long?): ChangeSource {
+        val name = if (ageMs == null || ageMs > RelayServer.OLDEST_MS) null else choose()
+        if (name != current) parts.events.log("relay.chosen", "source" to (name ?: "store"), "before" to current)
+        current = name
+        val host = name?.let { peers.hosts[it] } ?: return store
+        return connect(name, Address(host, parts.settings.peerPort))
+    }
+
+    /** [source] failed, or is too old, because of [cause]. */
+    fun onFailed(
+        source: String,
+        cause: Any,
+    ) {
+        parts.events.log("relay.lost", "source" to source, "cause" to cause)
+        pausedUntil[source] = parts.clock.nowMs() + PAUSE_MS
+    }
+
+    private fun choose(): String? {
+        val self = parts.settings.processName
+        val controller = peers.controller?.takeIf { it != self } ?: return null
+        val now = parts.clock.nowMs()
+        pausedUntil.values.removeIf { it <= now }
+        return RelayTree
+            .parents(self, controller, peers.hosts.keys)
+            .firstOrNull { it in peers.hosts && it !in pausedUntil }
+    }
+
+    private companion object {
+        /** Time for which a source that failed is not asked again, in milliseconds. */
+        const val PAUSE_MS = 3_000L
+    }
+}
--- a/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
@@ -1,5 +1,5 @@
 /*
- * A copy of the part of the store under one prefix, kept current by a watch.
+ * A copy of the store, kept current by its changes, which come from the store or from another process that has them.
  */
 package auburnhall.entry
 
@@ -26,45 +26,72 @@
     fun onBatch(revision: Long)
 }
 
-/** Mirrors the keys under [prefix]. Control thread only. */
+/** How a mirror asks for changes. */
+interface MirrorPace {
+    /** Time, in milliseconds, within which changes are collected to be asked for at once. */
+    val batchMs: Long
+
+    /** Longest time, in milliseconds, between two answers of the store. */
+    val waitMs: Long
+}
+
+/** Mirrors all keys. Control thread only. */
 class StoreMirror(
-    private val prefix: String,
     private val parts: ControlParts,
     private val listener: MirrorListener,
-    /** Time, in milliseconds, within which changes are collected to be fetched by one call. */
-    private val batchMs: () -> Long,
-) {
-    private val items = HashMap<String, StoreItem>()
-    private var revision = 0L
-    private var failures = 0
-    private var lostAt: Long? = null
-
-    /** When the store last came back after calls failed; null when they never did. */
-    var regainedAt: Long? = null
+    private val pace: MirrorPace,
+) : RelayedState {
+    private val items = MirroredItems(listener)
+    private val contact = StoreContact(parts)
+    private var question = 0L
+    private var source: ChangeSource? = null
+    private var currentAt: Long? = null
+    private var toldAway = false
+
+    /** Chooses where changes come from; set before [start]. */
+    var relays: Relays? = null
+
+    override var revision = 0L
         private set
 
+    override val ageMs: Long? get() = currentAt?.let { parts.clock.nowMs() - it }
+
+    override val storeWasAway: Boolean get() = toldAway || contact.wasAway
+
     /** Whether the last call to the store failed. */
-    val disconnected: Boolean get() = lostAt != null
+    val disconnected: Boolean get() = contact.lost
 
     /** Whether the mirror was filled once. */
     var loaded = false
         private set
 
+    override fun since(revision: Long): List<StoreChange>? = items.since(revision)
+
     /** Begins to fill the mirror. */
     fun start() = loadPage(null, LinkedHashMap(), null)
 
     /** The mirrored item at [key]. */
-    fun find(key: String): StoreItem? = items[key]
+    fun find(key: String): StoreItem? = items.find(key)
+
+    /** Asks the store itself once what another process tells is too old. */
+    fun checkAge() {
+        val peer = source?.peer ?: return
+        val age = ageMs ?: 0
+        if (age > RelayServer.OLDEST_MS) {
+            relays?.onFailed(peer, "changes are $age ms old")
+            watch()
+        }
+    }
 
     private fun loadPage(
         after: String?,
         collected: LinkedHashMap<String, StoreItem>,
         firstAt: Long?,
     ) {
-        parts.store.range(prefix, after) { result ->
+        parts.store.range("", after) { result ->
             result
                 .onSuccess { onPage(it, collected, firstAt ?: it.at) }
-                .onFailure { onError(it) { start() } }
+                .onFailure { contact.onError(it) { start() } }
         }
     }
 
@@ -73,90 +100,74 @@
         collected: LinkedHashMap<String, StoreItem>,
         firstAt: Long,
     ) {
-        onContact()
+        contact.onAnswer()
         page.items.associateByTo(collected) { it.key }
         if (page.hasMore && page.items.isNotEmpty()) {
             loadPage(page.items.last().key, collected, firstAt)
             return
         }
-        val gone = items.keys - collected.keys
-        gone.forEach { remove(it, firstAt) }
-        collected.values.filter { it.revision != items[it.key]?.revision }.forEach(::put)
+        items.replace(collected, firstAt)
         revision = firstAt
+        currentAt = parts.clock.nowMs()
         loaded = true
         listener.onBatch(revision)
         watch()
     }
 
     private fun watch() {
-        val waitMs = if (disconnected) RECOVERY_WATCH_MS else WATCH_MS
-        parts.store.watch(prefix, revision, waitMs) { result ->
-            result
-                .onSuccess { batch ->
-                    onContact()
-                    batch.changes.forEach {
-                        when (it) {
-                            is StoreChange.Put -> put(it.item)
-                            is StoreChange.Removed -> remove(it.key, it.revision)
-                        }
-                    }
-                    revision = maxOf(revision, batch.at)
-                    if (batch.changes.isNotEmpty()) listener.onBatch(revision)
-                    parts.scheduler.after(if (batch.changes.isEmpty()) 0 else batchMs()) { watch() }
-                }.onFailure(::onWatchError)
+        val asked = relays?.next(ageMs) ?: StoreSource(parts.store)
+        val number = ++question
+        source = asked
+        asked.changes(revision, waitMs(asked)) { result ->
+            if (number == question) {
+                source = null
+                result.onSuccess { onChanges(asked, it) }.onFailure { onWatchError(asked, it) }
+            }
         }
     }
 
-    private fun onWatchError(error: StoreError) {
-        if (error is StoreError.HistoryGone) {
-            parts.events.log("store.history_gone", "prefix" to prefix, "revision" to revision)
-            start()
-        } else {
-            onError(error) { watch() }
+    private fun waitMs(asked: ChangeSource) =
+        when {
+            asked.peer != null -> RELAY_WAIT_MS
+            disconnected -> RECOVERY_WAIT_MS
+            else -> pace.waitMs
         }
-    }
-
-    private fun put(item: StoreItem) {
-        items[item.key] = item
-        listener.onPut(item)
-    }
 
-    private fun remove(
-        key: String,
-        revision: Long,
+    private fun onChanges(
+        from: ChangeSource,
+        told: CurrentChanges,
     ) {
-        if (items.remove(key) != null) listener.onRemoved(key, revision)
+        if (from.peer == null) contact.onAnswer()
+        toldAway = told.storeWasAway
+        currentAt = parts.clock.nowMs() - told.ageMs
+        val batch = told.changes
+        batch.changes.forEach(items::apply)
+        revision = maxOf(revision, batch.at)
+        if (batch.changes.isNotEmpty()) listener.onBatch(revision)
+        parts.scheduler.after(if (batch.changes.isEmpty()) 0 else pace.batchMs) { watch() }
     }
 
-    private fun onContact() {
-        failures = 0
-        val since = lostAt ?: return
-        lostAt = null
-        regainedAt = parts.clock.nowMs()
-        parts.events.log("store.regained", "prefix" to prefix, "after_ms" to parts.clock.nowMs() - since)
-    }
-
-    private fun onError(
+    private fun onWatchError(
+        from: ChangeSource,
         error: StoreError,
-        again: () -> Unit,
     ) {
-        if (lostAt == null) {
-            lostAt = parts.clock.nowMs()
-            parts.events.log("store.lost", "prefix" to prefix, "error" to error)
+        val peer = from.peer
+        if (peer != null) {
+            relays?.onFailed(peer, error)
+            watch()
+        } else if (error is StoreError.HistoryGone) {
+            parts.events.log("store.history_gone", "revision" to revision)
+            start()
+        } else {
+            contact.onError(error) { watch() }
         }
-        val pause = FIRST_PAUSE_MS shl failures.coerceAtMost(MAX_DOUBLINGS)
-        failures++
-        parts.scheduler.after(pause + parts.random.nextLong(pause)) { again() }
     }
 
     private companion object {
-        /** A watch returns at least this often, in milliseconds. */
-        const val WATCH_MS = 10_000L
+        /** Longest time between two answers of another process: ages add up from level to level of the tree. */
+        const val RELAY_WAIT_MS = 200L
 
         /** As above until the store has answered again: a call that began while it was silent may never be answered. */
-        const val RECOVERY_WATCH_MS = 300L
-
-        const val FIRST_PAUSE_MS = 50L
-        const val MAX_DOUBLINGS = 3
+        const val RECOVERY_WAIT_MS = 300L
     }
 }
--- a/entry/src/main/kotlin/auburnhall/entry/StoreView.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreView.kt
@@ -43,7 +43,7 @@
 ) {
     private val feed = FleetFeed(clock, events, storeWasAway)
     private val trackers = HashMap<String, ReplicaTracker>()
-    private val peers = HashMap<String, String>()
+    private val hosts = HashMap<String, String>()
     private var peersChanged = false
     private var revision = 0L
 
@@ -51,6 +51,9 @@
     var configuration: Configuration? = null
         private set
 
+    /** The hosts of the other processes, by name. */
+    val peers: Map<String, String> get() = hosts
+
     /** The workers as last published. */
     var fleet: Fleet = Fleet.EMPTY
         private set
@@ -79,7 +82,7 @@
     /** All changes up to [at] were told; tells the listener. */
     fun publish(at: Long = revision) {
         revision = at
-        if (peersChanged) listener.onPeers(HashMap(peers))
+        if (peersChanged) listener.onPeers(HashMap(hosts))
         peersChanged = false
         fleet = feed.fleet(revision)
         val current = configuration ?: return
@@ -118,11 +121,11 @@
     private fun addPeer(item: StoreItem) {
         val name = item.key.removePrefix(Registration.PREFIX)
         if (name == processName) return
-        peersChanged = peers.put(name, String(item.value)) != String(item.value) || peersChanged
+        peersChanged = hosts.put(name, String(item.value)) != String(item.value) || peersChanged
     }
 
     private fun removePeer(name: String) {
-        val removed = !storeWasAway() && peers.remove(name) != null
+        val removed = !storeWasAway() && hosts.remove(name) != null
         peersChanged = removed || peersChanged
     }
 }
--- a/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
@@ -40,6 +40,8 @@
         )
     }
 
+    private fun mirrorOf(seen: MirrorListener) = StoreMirror(parts(), seen, UnhurriedPace)
+
     private class Seen : MirrorListener {
         val keys = HashMap<String, String>()
         var batches = 0
@@ -64,7 +66,7 @@
     fun `a mirror holds all pages and follows changes`() {
         repeat(120) { store.put("k/%03d".format(it), "v$it") }
         val seen = Seen()
-        StoreMirror("k/", parts(), seen) { 0 }.start()
+        mirrorOf(seen).start()
         time.advance(100)
         assertEquals(120, seen.keys.size)
         store.put("k/000", "new")
@@ -79,7 +81,7 @@
         store.put("k/a", "1")
         store.put("k/b", "1")
         val seen = Seen()
-        StoreMirror("k/", parts(), seen) { 0 }.start()
+        mirrorOf(seen).start()
         time.advance(50)
         store.compact()
         store.remove("k/a")
@@ -91,7 +93,7 @@
     fun `a mirror is current soon after an outage`() {
         store.put("k/a", "1")
         val seen = Seen()
-        val mirror = StoreMirror("k/", parts(), seen) { 0 }
+        val mirror = mirrorOf(seen)
         mirror.start()
         time.advance(50)
         store.outage = StoreError.TurnedAway(503)
@@ -129,6 +131,11 @@
         return StoreItem(key, json.toByteArray(), 1)
     }
 
+    private object UnhurriedPace : MirrorPace {
+        override val batchMs = 0L
+        override val waitMs = 3_000L
+    }
+
     private class Terms : LeadershipListener {
         val elected = ArrayList<Long>()
         var deposed = 0
@@ -187,7 +194,7 @@
             object : MirrorListener by Seen() {
                 override fun onPut(item: StoreItem) = leadership.onKey(item)
             }
-        StoreMirror(Leadership.CONTROLLER_KEY, parts(), seen) { 0 }.start()
+        mirrorOf(seen).start()
         time.advance(100)
         assertTrue(leadership.isLeading)
     }
