Send requests to replicas with a slow member only when the others are full

A replica with a slow member whose domain has no spare is not taken apart, and the other processes were not told, so they went on choosing it; its callers met their deadline.

Change: the controller, which knows the pace from its probes, tells all processes once a second; they choose such a replica after the others, but before a wait.

Ruled out: moving the streams that are there, which uses up the second try of each for a gain that was not measured; taking the replica apart without a spare, since its members could only form a smaller share of replicas.

Two tests fail when the change is taken out (they were written after it).

--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -141,6 +141,8 @@
 
     override fun onSound(key: ReplicaEpoch) = tell(key, Finding.SOUND)
 
+    override fun onSlow(key: ReplicaEpoch) = tell(key, Finding.SLOW)
+
     override fun onBreaking(key: ReplicaEpoch) = tell(key, Finding.BREAKING)
 
     private fun tell(
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
@@ -32,6 +32,9 @@
 
     /** It is taken apart. */
     BREAKING,
+
+    /** It has a slow member that cannot be replaced now. */
+    SLOW,
 }
 
 /** Whose work a report of load is about. */
--- a/entry/src/main/kotlin/auburnhall/entry/PeerNews.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerNews.kt
@@ -83,6 +83,7 @@
         val replica = subjects.targets().find(key)?.replica ?: return
         when (finding) {
             Finding.BREAKING -> subjects.health.markLost(key)
+            Finding.SLOW -> subjects.health.slow.mark(key)
             Finding.SUSPECT -> {
                 subjects.health.suspect(key)
                 subjects.onSuspect(replica)
--- a/replica/src/main/kotlin/auburnhall/replica/Breakups.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Breakups.kt
@@ -43,6 +43,7 @@
         val whole = open.associateBy { ReplicaEpoch(it.name, it.epoch) }
         incompleteSince.keys.removeAll(whole.keys)
         announceLostHeads(workers)
+        announceSlow(open)
         for (head in workers.filter(::takesRequests)) {
             val key = checkNotNull(head.membership).key
             val cause = whole[key]?.let { causeToBreak(it) } ?: causeWhenIncomplete(key, whole, workers)
@@ -77,16 +78,27 @@
 
     /** Heads that do not answer cannot be told to leave; other processes are told to send them nothing. */
     private fun announceLostHeads(workers: List<Worker>) {
-        val now = scope.clock.nowMs()
         for (head in workers.filter { watch.isLost(it) }) {
             val membership = head.membership?.takeIf { it.state == MemberState.OPEN && it.rank == 0 } ?: continue
-            if (now - (announcedAt[membership.key] ?: 0) >= ANNOUNCE_MS) {
-                announcedAt[membership.key] = now
-                scope.replicas.onBreaking(membership.key)
-            }
+            if (announceDue(membership.key)) scope.replicas.onBreaking(membership.key)
+        }
+    }
+
+    /** Replicas that cannot be better formed now get fewer requests than others. */
+    private fun announceSlow(open: List<Replica>) {
+        for (replica in open.filter { of -> of.members.any { watch.isSlow(it) && !hasSpare(it) } }) {
+            val key = ReplicaEpoch(replica.name, replica.epoch)
+            if (key !in running && announceDue(key)) scope.replicas.onSlow(key)
         }
     }
 
+    private fun announceDue(key: ReplicaEpoch): Boolean {
+        val now = scope.clock.nowMs()
+        val due = announcedAt[key]?.let { now - it >= ANNOUNCE_MS } != false
+        if (due) announcedAt[key] = now
+        return due
+    }
+
     private fun causeToBreak(replica: Replica): String? {
         val lost = replica.members.firstOrNull { watch.isLost(it) }
         val slow = replica.members.firstOrNull { watch.isSlow(it) && hasSpare(it) }
@@ -111,7 +123,7 @@
         /** Workers that were cut off from the store are listed again within about this time, in milliseconds. */
         const val INCOMPLETE_MS = 1_500L
 
-        /** The loss of a head is told again after this time, in milliseconds, while the head is listed. */
+        /** A lost head, or a slow member, is told again after this time, in milliseconds, while it is listed. */
         const val ANNOUNCE_MS = 1_000L
     }
 }
--- a/replica/src/main/kotlin/auburnhall/replica/ControllerScope.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ControllerScope.kt
@@ -11,6 +11,9 @@
     /** All members of [key] have just answered. */
     fun onSound(key: ReplicaEpoch)
 
+    /** [key] has a slow member and no spare for it. */
+    fun onSlow(key: ReplicaEpoch)
+
     /** [key] is taken apart and must get no more requests. */
     fun onBreaking(key: ReplicaEpoch)
 }
--- a/replica/src/test/kotlin/auburnhall/replica/ReplicaControllerTest.kt
+++ b/replica/src/test/kotlin/auburnhall/replica/ReplicaControllerTest.kt
@@ -80,6 +80,22 @@
         assertTrue(world.open().none { slow.id in it.members })
     }
 
+    @Test
+    fun `a slow member without a spare is told again and again, and its replica goes on`() {
+        started()
+        val slow = memberOf(LARGE)
+        val key = checkNotNull(slow.membership).key
+        val members = world.open().flatMapTo(HashSet()) { it.members }
+        world.workers.filter { it.domain == slow.domain && it.id !in members }.forEach { world.kill(it) }
+        world.run(5_000)
+        slow.pace = 4.0
+        world.controller.onSuspect(key)
+        world.run(4_000)
+        assertEquals(emptyList<ReplicaEpoch>(), world.breaking)
+        assertTrue(world.slow.size in 2..5, world.slow.toString())
+        assertEquals(setOf(key), world.slow.toSet())
+    }
+
     @Test
     fun `the second loss in a domain is covered by what the other spare has on its host`() {
         started()
--- a/replica/src/test/kotlin/auburnhall/replica/WorkerWorld.kt
+++ b/replica/src/test/kotlin/auburnhall/replica/WorkerWorld.kt
@@ -56,6 +56,7 @@
     val loads = ArrayList<Long>()
     val breaking = ArrayList<ReplicaEpoch>()
     val sound = ArrayList<ReplicaEpoch>()
+    val slow = ArrayList<ReplicaEpoch>()
     private val byId get() = workers.associateBy { it.id }
     private val everReady = HashSet<Triple<String, Long, String>>()
     private var listedFleet = Fleet.EMPTY
@@ -67,6 +68,10 @@
                 sound.add(key)
             }
 
+            override fun onSlow(key: ReplicaEpoch) {
+                slow.add(key)
+            }
+
             override fun onBreaking(key: ReplicaEpoch) {
                 breaking.add(key)
             }
@@ -125,7 +130,9 @@
     private fun newController(
         epoch: Long,
         first: Boolean,
-    ) = ReplicaController(ControllerScope("s", scheduler, ControllerTerm(epoch, first), EventListener.NONE, listener))
+    ) = ReplicaController(
+        ControllerScope("s", scheduler, ControllerTerm(epoch, first), EventListener.NONE, listener, delay),
+    )
 
     private fun decide() {
         val current = controller
--- a/routing/src/main/kotlin/auburnhall/routing/Router.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Router.kt
@@ -50,7 +50,19 @@
         val fresh = targets.filter { it.key !in demand.tried }
         val healthy = fresh.filter { !health.isAvoided(it.key) }
         val pool = healthy.ifEmpty { fresh.filter { !health.isSuspect(it.key) } }.ifEmpty { fresh }
-        val best = pool.minByOrNull { score(it) } ?: return Choice.None
+        val (slow, brisk) = pool.partition { it.key in health.slow }
+        val first = least(brisk)
+        return if (first is Choice.Send || slow.isEmpty()) first else orSlow(first, least(slow))
+    }
+
+    /** A slow target is better than a wait, or than none. */
+    private fun orSlow(
+        first: Choice,
+        slow: Choice,
+    ): Choice = if (first is Choice.None || slow is Choice.Send) slow else first
+
+    private fun least(targets: List<Target>): Choice {
+        val best = targets.minByOrNull { score(it) } ?: return Choice.None
         val total = load.total(best.key).requests
         return if (total < best.slots) Choice.Send(best, total) else Choice.Full(best, total)
     }
--- a/routing/src/main/kotlin/auburnhall/routing/TargetHealth.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/TargetHealth.kt
@@ -1,5 +1,5 @@
 /*
- * Which targets are avoided for a while: those that failed requests, and replicas that fell silent.
+ * Which targets are avoided for a while: those that failed requests, replicas that fell silent, and slow ones.
  */
 package auburnhall.routing
 
@@ -11,6 +11,9 @@
 ) {
     private val records = HashMap<TargetKey, Record>()
 
+    /** Targets that work, but slowly. */
+    val slow = SlowTargets(clock)
+
     /** A request to [key] failed in a way that speaks against the target. */
     fun onFailure(key: TargetKey) {
         val record = records.getOrPut(key) { Record() }
@@ -66,6 +69,7 @@
     /** Forgets targets that are gone. */
     fun retain(present: (TargetKey) -> Boolean) {
         records.keys.removeIf { !present(it) }
+        slow.retain(present)
     }
 
     private class Record {
@@ -95,3 +99,28 @@
         const val LOST_MS = 4_000L
     }
 }
+
+/** Replicas with a slow member that cannot be replaced now. Traffic thread only. */
+class SlowTargets(
+    private val clock: Clock,
+) {
+    private val until = HashMap<TargetKey, Long>()
+
+    /** [key] was found slow just now. */
+    fun mark(key: TargetKey) {
+        until[key] = clock.nowMs() + SLOW_MS
+    }
+
+    /** Whether [key] works slowly. */
+    operator fun contains(key: TargetKey): Boolean = (until[key] ?: 0) > clock.nowMs()
+
+    /** Forgets targets that are gone. */
+    fun retain(present: (TargetKey) -> Boolean) {
+        until.keys.removeIf { !present(it) }
+    }
+
+    private companion object {
+        /** Covers two of the controller's looks at a slow member. */
+        const val SLOW_MS = 2_500L
+    }
+}
--- a/routing/src/test/kotlin/auburnhall/routing/RouterTest.kt
+++ b/routing/src/test/kotlin/auburnhall/routing/RouterTest.kt
@@ -46,6 +46,17 @@
         repeat(20) { assertEquals("z", chosen()) }
     }
 
+    @Test
+    fun `a slow replica gets requests only once the others are full`() {
+        health.slow.mark(targets[0].key)
+        targets.drop(1).forEach { of -> repeat(17) { load.begin(of.key, 0) } }
+        repeat(20) { assertTrue(chosen() != "x") }
+        targets.drop(1).forEach { of -> repeat(targets[0].slots - 17) { load.begin(of.key, 0) } }
+        repeat(20) { assertEquals("x", chosen()) }
+        time.advance(3_000)
+        assertEquals("x", chosen())
+    }
+
     @Test
     fun `uses a failing target rather than none, and a suspected one last`() {
         health.suspect(targets[0].key)
