Work out the plan of domains once for a fleet, not at each decision

Its thread was full: each decision worked out two plans for 162 workers in six domains, and decisions are made after every answer to an order.

Ruled out: the links (14 Mbit/s, little used) and the workers (they served others at that moment).

--- a/replica/src/main/kotlin/auburnhall/replica/Layout.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Layout.kt
@@ -102,3 +102,27 @@
         }
     }
 }
+
+/**
+ * Remembers the last plans: they are asked for at each decision and change only when a domain gains or loses workers.
+ * Control thread only.
+ */
+class Layouts {
+    private val known =
+        object : LinkedHashMap<Pair<Map<String, Int>, List<Model>>, Map<String, DomainPlan>>() {
+            override fun removeEldestEntry(
+                eldest: MutableMap.MutableEntry<Pair<Map<String, Int>, List<Model>>, Map<String, DomainPlan>>,
+            ) = size > KEPT
+        }
+
+    /** The plan of [Layout.plan]. */
+    fun plan(
+        sizes: Map<String, Int>,
+        models: List<Model>,
+    ): Map<String, DomainPlan> = known.getOrPut(sizes to models) { Layout.plan(sizes, models) }
+
+    private companion object {
+        /** Sizes as they are and as they would be with all workers, before and after a loss. */
+        const val KEPT = 8
+    }
+}
--- a/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/PlacementDraft.kt
@@ -48,20 +48,28 @@
     fun pressure(model: String): Double?
 }
 
+/** Replicas by domain and model. */
+class DomainPlans(
+    /** With the workers that there are. */
+    val now: Map<String, DomainPlan>,
+    /** With as many workers in each domain as in the largest. */
+    val whole: Map<String, DomainPlan>,
+)
+
 /** Places replicas one at a time until the plan is met or no workers are left. */
 class PlacementDraft(
     private val models: List<Model>,
-    sizes: Map<String, Int>,
+    plans: DomainPlans,
     serving: Map<Pair<String, String>, Int>,
     private val free: FreeWorkers,
     private val facts: PlacementFacts,
 ) {
     private val holdings = Holdings(models, facts)
     private val counts = serving.toMutableMap()
-    private val wholePlan = Layout.plan(sizes.mapValues { sizes.values.max() }, models)
+    private val wholePlan = plans.whole
 
     /** Replicas by domain and model that there are to be. */
-    val plan: Map<String, DomainPlan> = Layout.plan(sizes, models)
+    val plan: Map<String, DomainPlan> = plans.now
 
     /** The next replica to form; null when there is none. */
     fun next(): Placement? {
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
@@ -22,6 +22,7 @@
     private val breakups: Breakups = Breakups(scope, watch, formations::contains) { it.fabricDomain in spareDomains }
     private val supply = Supply(scope, watch, formations, breakups)
     private val loads = LoadRate(scope.clock)
+    private val layouts = Layouts()
     private val staging = HashSet<Pair<WorkerStart, String>>()
     private var spareDomains: Set<String> = emptySet()
 
@@ -97,7 +98,10 @@
     ): List<Order> {
         val free = FreeWorkers(supply.free(workers))
         val sizes = workers.filter { watch.isUsable(it) }.groupingBy { it.fabricDomain.orEmpty() }.eachCount()
-        val draft = PlacementDraft(engine.models, sizes, serving(workers), free, facts)
+        val most = sizes.values.maxOrNull() ?: 0
+        val whole = layouts.plan(sizes.mapValues { most }, engine.models)
+        val plans = DomainPlans(layouts.plan(sizes, engine.models), whole)
+        val draft = PlacementDraft(engine.models, plans, serving(workers), free, facts)
         val placed = generateSequence { draft.next() }.toList()
         val fresh = placed.map { begin(it, spare = false) }
         spareDomains = free.domains
