Take no worker for lost while the control thread itself is held up

Cheaper decisions make it rarer; a machine that is frozen, slow or short of its quota makes it again: answers wait unread while the time of their probes runs out.

Change: a tick that comes 50 ms late or more is logged, and probes that look unanswered within 200 ms of it do not count; the workers are asked again.

Ruled out: a longer time for probes, which would hold up every true loss.

A test fails when the change is taken out (it was written after it).

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -54,6 +54,9 @@
     /** Whether this process controls the replicas. May be read on any thread. */
     val isLeading: Boolean get() = leadership.isLeading
 
+    /** When the next tick is due. */
+    private var dueAt = 0L
+
     override val controller: String? get() = mirror.find(Leadership.CONTROLLER_KEY)?.let { Leadership.holderOf(it) }
 
     override val processes: Map<String, PeerProcess> get() = view.peers
@@ -64,6 +67,7 @@
 
     /** Begins; call on the control thread. */
     fun start() {
+        dueAt = parts.clock.nowMs()
         replicas.mayOrder = { leadership.isLeading }
         mirror.start()
         registration.start()
@@ -105,6 +109,9 @@
     }
 
     private fun tick() {
+        val now = parts.clock.nowMs()
+        if (now - dueAt >= HELD_UP_MS) replicas.onHeldUp(now - dueAt)
+        dueAt = now + TICK_MS
         view.expire()
         mirror.checkAge()
         leadership.check()
@@ -123,6 +130,9 @@
     private companion object {
         const val TICK_MS = 100L
 
+        /** A delay of a tick, in milliseconds, that is a good part of the time that a probe may take. */
+        const val HELD_UP_MS = 50L
+
         /** The controller and the processes below those that hand changes on wait for what workers report. */
         const val RELAY_BATCH_MS = 100L
 
--- a/entry/src/main/kotlin/auburnhall/entry/ReplicaControl.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ReplicaControl.kt
@@ -5,6 +5,7 @@
 
 import auburnhall.core.log
 import auburnhall.platform.WorkerCalls
+import auburnhall.replica.ControlDelay
 import auburnhall.replica.ControllerScope
 import auburnhall.replica.ControllerTerm
 import auburnhall.replica.Order
@@ -22,6 +23,7 @@
     private val controllers = HashMap<String, ReplicaController>()
     private var term: ControllerTerm? = null
     private var due = false
+    private val delay = ControlDelay(parts.clock)
 
     /** Whether this process may still give orders. */
     var mayOrder: () -> Boolean = { false }
@@ -38,6 +40,13 @@
         decideSoon()
     }
 
+    /** The control thread was held up for [ms] milliseconds. */
+    fun onHeldUp(ms: Long) {
+        if (controllers.isEmpty()) return
+        parts.events.log("control.held_up", "late_ms" to ms)
+        delay.note()
+    }
+
     /** Part of the slots of each model that is taken, by service and model. */
     fun onPressure(counted: Map<String, Map<String, Double>>) {
         controllers.forEach { (service, controller) -> controller.pressure = counted[service].orEmpty() }
@@ -53,7 +62,9 @@
             val engine = service.engine ?: continue
             val controller =
                 controllers.getOrPut(service.name) {
-                    ReplicaController(ControllerScope(service.name, parts.clock, current, parts.events, replicas))
+                    ReplicaController(
+                        ControllerScope(service.name, parts.clock, current, parts.events, replicas, delay),
+                    )
                 }
             controller.tick(view.fleet, engine, view.tracker(service.name)).forEach { send(controller, it) }
         }
--- a/replica/src/main/kotlin/auburnhall/replica/ControllerScope.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ControllerScope.kt
@@ -30,6 +30,26 @@
     fun nextEpoch(): Long = firstEpoch + used++
 }
 
+/** Notes when the control thread was held up, so that answers may wait unread. Control thread only. */
+class ControlDelay(
+    private val clock: Clock,
+) {
+    private var until = Long.MIN_VALUE
+
+    /** Whether probes that were on their way meanwhile may still look unanswered. */
+    val isRecent: Boolean get() = clock.nowMs() < until
+
+    /** The thread was held up until now. */
+    fun note() {
+        until = clock.nowMs() + DOUBT_MS
+    }
+
+    private companion object {
+        /** Longer than a probe may take, in milliseconds. */
+        const val DOUBT_MS = 200L
+    }
+}
+
 /** The surroundings of the controller of [service]. */
 class ControllerScope(
     val service: String,
@@ -37,4 +57,5 @@
     val term: ControllerTerm,
     val events: EventListener,
     val replicas: ReplicaListener,
+    val delay: ControlDelay,
 )
--- a/replica/src/main/kotlin/auburnhall/replica/Losses.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Losses.kt
@@ -50,10 +50,13 @@
         if (pace >= SLOW_PACE) slow.mark(worker.start, clock.nowMs()) else slow.clear(worker.start)
     }
 
-    /** [worker] did not answer; returns whether it is lost from now on. */
-    fun onMissed(worker: Worker): Boolean {
+    /** [worker] did not answer, which speaks against it where it [counts]; returns whether it is lost from now on. */
+    fun onMissed(
+        worker: Worker,
+        counts: Boolean,
+    ): Boolean {
         probing.remove(worker.start)
-        val count = missed.merge(worker.start, 1, Int::plus) ?: 1
+        val count = missed.merge(worker.start, if (counts) 1 else 0, Int::plus) ?: 0
         val newlyLost = count >= MISSED_LIMIT && worker.start !in lost
         if (newlyLost) lost.mark(worker.start, clock.nowMs())
         return newlyLost
--- a/replica/src/main/kotlin/auburnhall/replica/MemberWatch.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/MemberWatch.kt
@@ -64,12 +64,13 @@
     /** [worker] answered an order. */
     fun onAnswer(worker: Worker) = losses.onAnswer(worker)
 
-    /** [worker] did not answer. */
+    /** [worker] did not answer. While the control thread itself is held up this says nothing of the worker. */
     fun onNoAnswer(
         worker: Worker,
         cause: String,
     ) {
-        if (losses.onMissed(worker)) scope.events.log("worker.lost", "worker" to worker.id, "cause" to cause)
+        val counts = !scope.delay.isRecent
+        if (losses.onMissed(worker, counts)) scope.events.log("worker.lost", "worker" to worker.id, "cause" to cause)
     }
 
     /** The replica [key] is taken apart; whether its members answer no longer matters. */
--- a/replica/src/test/kotlin/auburnhall/replica/ReplicaControllerTest.kt
+++ b/replica/src/test/kotlin/auburnhall/replica/ReplicaControllerTest.kt
@@ -96,6 +96,22 @@
         assertEquals(setOf(key), world.slow.toSet())
     }
 
+    @Test
+    fun `a controller that was held up itself takes no worker for lost`() {
+        started()
+        val member = memberOf(LARGE)
+        val key = checkNotNull(member.membership).key
+        member.reachable = false
+        world.controller.onSuspect(key)
+        repeat(20) {
+            world.delay.note()
+            world.run(50)
+        }
+        assertEquals(emptyList<ReplicaEpoch>(), world.breaking)
+        world.run(1_500)
+        assertEquals(listOf(key), world.breaking.distinct())
+    }
+
     @Test
     fun `the second loss in a domain is covered by what the other spare has on its host`() {
         started()
--- a/replica/src/test/kotlin/auburnhall/replica/WorkerWorld.kt
+++ b/replica/src/test/kotlin/auburnhall/replica/WorkerWorld.kt
@@ -48,6 +48,7 @@
     firstStart: Boolean = true,
 ) {
     val scheduler = FakeScheduler()
+    val delay = ControlDelay(scheduler)
     val workers =
         (0 until domains).flatMap { d ->
             (0 until perDomain).map { FakeWorker("i-$d-${"%02d".format(it)}", "d$d") }
