--- a/entry/src/main/kotlin/auburnhall/entry/LoadNews.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/LoadNews.kt
@@ -138,6 +138,8 @@
 
         /** Keeps a process with some 200 bytes of news below 8 KB/s whatever the number of processes. */
         const val PERIOD_MS_PER_PEER = 3L
+
+        /** Periods after which load that has not changed is told again, in case a datagram was lost. */
         const val REPEAT_EVERY = 5
 
         /** Sums go to more than one process of a data centre, in case its first one is gone. */
--- a/entry/src/main/kotlin/auburnhall/entry/RelayServer.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelayServer.kt
@@ -107,6 +107,8 @@
          * enough to ask the store itself.
          */
         const val OLDEST_MS = 1_200L
+
+        /** Bounds what a process can make this one hold, in milliseconds. */
         private const val LONGEST_WAIT_MS = 10_000L
 
         /** Longer than the pause after which a process that was refused asks again. */
--- a/replica/src/main/kotlin/auburnhall/replica/Breakups.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Breakups.kt
@@ -88,7 +88,10 @@
     private fun announceSlow(open: List<Replica>) {
         for (replica in open.filter { of -> of.members.any { watch.isSlow(it) && !hasSpare(it) } }) {
             val key = ReplicaEpoch(replica.name, replica.epoch)
-            if (key !in running && announceDue(key)) scope.replicas.onSlow(key)
+            if (key in running || !announceDue(key)) continue
+            val slow = replica.members.filter(watch::isSlow).joinToString(",") { it.id }
+            scope.events.log("replica.slow", "replica" to key, "members" to slow)
+            scope.replicas.onSlow(key)
         }
     }
 
