Take changes from other processes only where processes are many

The process test sets it to 2.

Ruled out: asking less often, since ages add up from level to level and the bound for configurations is 2 s.

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -35,6 +35,7 @@
     private val parts: ControlParts,
     workers: WorkerCalls,
     listener: ControlListener,
+    relayFrom: Int,
     connect: (name: String, address: Address) -> ChangeSource,
 ) : MirrorListener,
     LeadershipListener,
@@ -62,7 +63,7 @@
     override val processes: Map<String, PeerProcess> get() = view.peers
 
     init {
-        mirror.relays = Relays(parts, this, connect)
+        mirror.relays = Relays(parts, this, relayFrom, connect)
     }
 
     /** Begins; call on the control thread. */
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -28,10 +28,10 @@
 import kotlin.system.exitProcess
 
 /** The process under [settings]. */
-class EntryProcess(
+internal class EntryProcess(
     @Volatile private var settings: Settings,
     private val file: SettingsFile,
-    private val metricsPort: Int,
+    private val options: EntryOptions,
 ) {
     private val clock = Clock.SYSTEM
     private val random = Random(System.nanoTime() xor settings.processName.hashCode().toLong())
@@ -59,7 +59,7 @@
         metrics.gauge("auburnhall_log_dropped_total", "Log lines that were not written.") { log.droppedLines }
         traffic.start()
         pages.serveReadiness(traffic.loop, settings.readiness)
-        pages.serveMetrics(controlLoop, Address(settings.host, metricsPort))
+        pages.serveMetrics(controlLoop, Address(settings.host, options.metricsPort))
         serveRelay()
         control.run { plane.start() }
         traffic.scheduler.run { countPressure() }
@@ -95,7 +95,9 @@
         val caller = ShortCaller(client, control)
         val store = HttpStore(client, caller) { settings.store }
         val parts = ControlParts(settings, store, clock, control, random, log)
-        return ControlPlane(parts, WorkerCalls(caller), bridge) { name, peer -> PeerSource(name, peer, caller) }
+        return ControlPlane(parts, WorkerCalls(caller), bridge, options.relayFrom) { name, peer ->
+            PeerSource(name, peer, caller)
+        }
     }
 
     private fun serveRelay() {
--- a/entry/src/main/kotlin/auburnhall/entry/Main.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Main.kt
@@ -22,7 +22,7 @@
     val process =
         SettingsFile
             .fromEnvironment(System.getenv())
-            .andThen { file -> file.read().map { EntryProcess(it, file, options.metricsPort) } }
+            .andThen { file -> file.read().map { EntryProcess(it, file, options) } }
             .getOrElse { fail(it) }
     Signal.handle(Signal("TERM")) { process.stop() }
     Signal.handle(Signal("HUP")) { process.reload("signal") }
--- a/entry/src/main/kotlin/auburnhall/entry/Relays.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Relays.kt
@@ -20,6 +20,8 @@
 class Relays(
     private val parts: ControlParts,
     private val peers: RelayPeers,
+    /** Number of processes from which on they take the store's changes from each other. */
+    private val fewest: Int,
     private val connect: (name: String, address: Address) -> ChangeSource,
 ) {
     private val store = StoreSource(parts.store)
@@ -46,7 +48,8 @@
 
     private fun choose(): String? {
         val self = parts.settings.processName
-        val controller = peers.controller?.takeIf { it != self } ?: return null
+        val many = peers.processes.size + 1 >= fewest
+        val controller = peers.controller?.takeIf { many && it != self } ?: return null
         val now = parts.clock.nowMs()
         pausedUntil.values.removeIf { it <= now }
         return RelayTree
--- a/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
@@ -50,7 +50,7 @@
         override val waitMs: Long get() = if (server.isAsked) 200L else 3_000L
 
         fun start() {
-            mirror.relays = Relays(parts, this) { peer, _ -> InProcessSource(peer) }
+            mirror.relays = Relays(parts, this, 2) { peer, _ -> InProcessSource(peer) }
             mirror.start()
             every()
         }
--- a/process-test/src/test/kotlin/auburnhall/process/EntryProcess.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/EntryProcess.kt
@@ -41,6 +41,8 @@
                 JAR.toString(),
                 "--metrics-port",
                 "0",
+                "--relay-from",
+                "2",
             )
         builder.environment()["AUBURNHALL_BOOT"] = settings.toString()
         builder.redirectErrorStream(true).redirectOutput(log.toFile())
