Keep as many spares as losses need, not 15 % of a domain

Cause: the reserve was a share of the domain (5 of 27, 6 of 35), and what was left did not divide by the sizes of the replicas: a domain of 27 served with 18 workers and one of 35 with 28. Losses do not grow with the domain but with the fleet and the time of a replacement, a second or two. Model m1 of the large fleet ran at about 85 % of its slots. Ruled out: the slots as such (heads of m0 were at 42 %), the queue of the processes (requests reach a worker in ms). Change: 8 % of a domain, at least 2. Domains of 11 keep 2 as before; 27 serve with 24, 35 with 32 workers.

--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaPlanner.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaPlanner.kt
@@ -13,8 +13,11 @@
 
 /** Plans the replicas for domains of given sizes. */
 object ReplicaPlanner {
-    /** Share of a domain's workers that is kept as spares. */
-    private const val RESERVE_SHARE = 0.15
+    /** Share of a domain's workers that is lost within the time that a replacement takes, with a margin. */
+    private const val RESERVE_SHARE = 0.08
+
+    /** Two losses in a row are covered in a domain of any size. */
+    private const val MIN_RESERVE = 2
 
     /**
      * The model with the smallest replicas gets no more of them once its replicas per demand reach this multiple of the
@@ -25,7 +28,7 @@
     private const val MIN_DEMAND = 0.001
 
     /** Number of spares that a domain of [workers] workers keeps. */
-    fun reserve(workers: Int): Int = ceil(workers * RESERVE_SHARE).toInt()
+    fun reserve(workers: Int): Int = maxOf(ceil(workers * RESERVE_SHARE).toInt(), minOf(MIN_RESERVE, workers))
 
     /** Replicas of [model] needed per worker of the fleet; its share of the load is its share of the workers. */
     fun demand(model: Model): Double = (model.share / model.size).coerceAtLeast(MIN_DEMAND)
--- a/replica/src/test/kotlin/auburnhall/replica/ReplicaPlannerTest.kt
+++ b/replica/src/test/kotlin/auburnhall/replica/ReplicaPlannerTest.kt
@@ -22,6 +22,31 @@
         assertTrue(plan.values.all { it == mapOf("a" to 1, "b" to 1) })
     }
 
+    @Test
+    fun `six domains of 27 workers hold a large and two small replicas each and three spares`() {
+        val plan =
+            ReplicaPlanner.plan(
+                (1..6).associate { "d$it" to 27 },
+                listOf(model("a", 12, 0.5), model("b", 6, 0.5)),
+            )
+        assertTrue(plan.values.all { it == mapOf("a" to 1, "b" to 2) }, plan.toString())
+    }
+
+    @Test
+    fun `25 domains of 35 workers serve with 32 of them`() {
+        val plan =
+            ReplicaPlanner.plan(
+                (1..25).associate { "d$it" to 35 },
+                listOf(model("a", 16, 0.5), model("b", 4, 0.5)),
+            )
+        assertTrue(plan.values.all { it == mapOf("a" to 1, "b" to 4) }, plan.toString())
+    }
+
+    @Test
+    fun `a domain of any size keeps at least two spares, if it has as many workers`() {
+        assertEquals(listOf(0, 1, 2, 2, 3, 3, 4), listOf(0, 1, 2, 11, 27, 35, 50).map(ReplicaPlanner::reserve))
+    }
+
     @Test
     fun `a domain that lost its spares still holds both models`() {
         val plan = ReplicaPlanner.plan(mapOf("d1" to 11, "d2" to 9), listOf(model("a", 6, 0.67), model("b", 3, 0.33)))
