Make the class archive from a run that serves, and link nothing at start

The archive was made by a run whose only request had no route: 426 classes were loaded and verified from the jar in a start with one stream, and lambdas and string templates were linked by generating byte code. The command line was parsed although it was empty. The sample request in the program, its option and settings are gone.

--- a/entry/src/main/kotlin/auburnhall/entry/EntryOptions.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryOptions.kt
@@ -9,13 +9,6 @@
     @Option(name = "--metrics-port", metaVar = "PORT", usage = "port of the metrics endpoint, 1 to 65535")
     var metricsPort: Int = DEFAULT_METRICS_PORT
 
-    @Option(
-        name = "--exit-after-ms",
-        metaVar = "MS",
-        usage = "exit after this time, 0 to run until a signal; used to build the class-data archive",
-    )
-    var exitAfterMs: Long = 0
-
     @Option(
         name = "--relay-from",
         metaVar = "N",
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -19,12 +19,10 @@
 import auburnhall.http.HttpServer
 import auburnhall.http.newEventLoop
 import auburnhall.platform.HttpStore
-import auburnhall.platform.SampleStoreEntries
 import auburnhall.platform.SettingsFile
 import auburnhall.platform.WorkerClient
 import auburnhall.replica.ReplicaEpoch
 import auburnhall.routing.TargetTable
-import com.github.michaelbull.result.onSuccess
 import kotlin.random.Random
 import kotlin.system.exitProcess
 
@@ -66,23 +64,6 @@
         traffic.scheduler.run { publishSlotUtilization() }
     }
 
-    /**
-     * Runs a sample configuration and request through the gateway, so that the class-data archive made by the build
-     * contains the classes that a first request needs.
-     */
-    fun runSampleRequest() {
-        SampleStoreEntries.configuration().onSuccess {
-            bridge.onState(
-                it,
-                Fleet(0, SampleStoreEntries.workers()),
-                emptyMap(),
-            )
-        }
-        metrics.onRequestEnded("sample", "served", 0)
-        metrics.scrape()
-        traffic.scheduler.run { traffic.gateway.onRequest(SampleExchange.request(clock.nowMs()), SampleExchange) }
-    }
-
     /** Reads the settings file again; [trigger] is logged when the settings changed or cannot be read. */
     fun reload(trigger: String) {
         val read = file.read()
--- a/entry/src/main/kotlin/auburnhall/entry/Main.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Main.kt
@@ -28,11 +28,6 @@
     Signal.handle(Signal("TERM")) { process.stop() }
     Signal.handle(Signal("HUP")) { process.reload("signal") }
     process.start()
-    if (options.exitAfterMs > 0) {
-        process.runSampleRequest()
-        Thread.sleep(options.exitAfterMs)
-        exitProcess(0)
-    }
     while (true) {
         Thread.sleep(RELOAD_POLL_MS)
         process.reload("file")
@@ -41,6 +36,7 @@
 
 private fun parse(args: Array<String>): EntryOptions {
     val options = EntryOptions()
+    if (args.isEmpty()) return options
     try {
         CmdLineParser(options).parseArgument(args.asList())
     } catch (e: CmdLineException) {
