Let idle processes sleep, and send load reports through collectors

Cause: an idle process of 40 used 3.9 to 4.8 % of a core: timers every 40 and 60 ms, a poll of the parent every 200 ms. Below 33 processes each told its load to all others: two thirds of the world's time of a small site were datagrams. Change: the checks of requests in flight run only while there are any; reports are sent 60 ms after a change (30 ms with few processes) and repeated every 300 ms; collectors add up from 7 processes on; waits at parents depend on the depth of the tree, 300 instead of 200 ms each with two levels.

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -127,6 +127,8 @@
             get() = if (leadership.isLeading || relay.hasClients) RELAY_BATCH_MS else FOLLOWER_BATCH_MS
 
         override val waitMs: Long get() = if (relay.hasClients) RELAY_WATCH_WAIT_MS else MAX_WATCH_WAIT_MS
+
+        override val relayWaitMs: Long get() = RELAY_WAIT_SUM_MS / RelayTree.levels(view.peers.size + 1)
     }
 
     private companion object {
@@ -147,6 +149,12 @@
          */
         const val FOLLOWER_BATCH_MS = 600L
 
+        /**
+         * Sum of the longest waits for changes over all levels of the relay tree: the ages of the levels add up and must
+         * stay below [RelayServer.MAX_AGE_MS], also on slow machines.
+         */
+        const val RELAY_WAIT_SUM_MS = 600L
+
         /** Epochs reserved for a term, counted from its revision; more than any term uses. */
         const val EPOCHS_PER_REVISION = 100_000L
 
--- a/entry/src/main/kotlin/auburnhall/entry/LoadExchange.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/LoadExchange.kt
@@ -1,11 +1,13 @@
 /*
  * Exchanges load reports between the processes: how much work each has at which target. With few processes, each sends
  * its report to all others. With many, that would take too many datagrams, so each reports to a collector of its data
- * centre, which adds the reports up and sends the totals back.
+ * centre, which adds the reports up and sends the totals back. Reports are sent soon after a change; while nothing changes,
+ * they are only repeated now and then, in case a datagram was lost.
  */
 package auburnhall.entry
 
 import auburnhall.core.Clock
+import auburnhall.core.Scheduler
 import auburnhall.core.Settings
 import auburnhall.routing.CollectorSelector
 import auburnhall.routing.LoadCollector
@@ -15,7 +17,8 @@
 /** Sends the load reports of this process and handles those of others. Traffic thread only. */
 class LoadExchange(
     settings: Settings,
-    clock: Clock,
+    private val clock: Clock,
+    private val scheduler: Scheduler,
     private val loadTracker: LoadTracker,
     private val sender: PeerSender,
 ) {
@@ -25,14 +28,20 @@
     private val collector = LoadCollector(clock)
     private var peers: Map<String, PeerProcess> = emptyMap()
     private var collectorTotal: LoadsByHash = emptyMap()
-    private val ownSchedule = ResendSchedule()
-    private val localSchedule = ResendSchedule()
-    private val totalSchedule = ResendSchedule()
+    private val ownSchedule = ReportSchedule(clock)
+    private val localSchedule = ReportSchedule(clock)
+    private val totalSchedule = ReportSchedule(clock)
+    private var changeScheduled = false
 
     private val direct: Boolean get() = peers.size < COLLECTOR_MIN_PEERS
 
-    /** Interval, in milliseconds, at which [tick] is to be called. */
-    val periodMs: Long get() = if (direct) maxOf(PERIOD_MS, peers.size * PERIOD_MS_PER_PEER) else PERIOD_MS
+    private val changeDelayMs: Long get() = if (peers.size < FEW_PEERS) FEW_PEERS_CHANGE_DELAY_MS else CHANGE_DELAY_MS
+
+    /** Starts to send reports; call once. */
+    fun start() {
+        loadTracker.onOwnChange = ::onChange
+        repeatReports()
+    }
 
     /** Replaces the other processes by [known]. */
     fun onPeers(known: Map<String, PeerProcess>) {
@@ -40,8 +49,22 @@
         collectorSelector.updateProcesses(known.filterValues { it.dataCentre == dataCentre }.keys)
     }
 
-    /** Sends the reports and totals that are due. */
-    fun tick() {
+    private fun repeatReports() {
+        sendDue()
+        scheduler.after(REPEAT_MS, ::repeatReports)
+    }
+
+    /** Changes that follow each other within [changeDelayMs] are sent together. */
+    private fun onChange() {
+        if (changeScheduled) return
+        changeScheduled = true
+        scheduler.after(changeDelayMs) {
+            changeScheduled = false
+            sendDue()
+        }
+    }
+
+    private fun sendDue() {
         val ownLoads = loadTracker.ownLoads()
         if (direct) {
             if (ownSchedule.isDue(ownLoads)) send(ownLoads, LoadScope.PROCESS, peers.keys)
@@ -53,6 +76,7 @@
     /** Handles a load report of one process or a total over several. */
     fun onMessage(message: PeerMessage) {
         val loads = message.loads()
+        if (!direct && message.scope != LoadScope.ALL) onChange()
         when (message.scope) {
             LoadScope.PROCESS ->
                 if (direct) {
@@ -121,30 +145,35 @@
             .values
             .flatMap { it.sorted().take(COLLECTOR_CANDIDATES) }
 
-    /** Decides when loads are sent: whenever they changed, and every [RESEND_PERIODS] periods while they have not. */
-    private class ResendSchedule {
+    /** Decides when loads are sent: when they changed, and every [REPEAT_MS] milliseconds while they have not. */
+    private class ReportSchedule(
+        private val clock: Clock,
+    ) {
         private var last: LoadsByHash? = null
-        private var unchanged = 0
+        private var repeatAtMs = 0L
 
         fun isDue(current: LoadsByHash): Boolean {
-            unchanged = if (current == last) unchanged + 1 else 0
+            val now = clock.nowMs()
+            if (current == last && now < repeatAtMs) return false
             last = current
-            return unchanged % RESEND_PERIODS == 0
+            repeatAtMs = now + REPEAT_MS
+            return true
         }
     }
 
     private companion object {
-        /** Number of other processes from which on reporting to a collector costs less than reporting to all. */
-        const val COLLECTOR_MIN_PEERS = 32
+        /** Number of other processes from which on reporting to a collector takes fewer datagrams than to all. */
+        const val COLLECTOR_MIN_PEERS = 6
 
-        /** A small part of the duration of a streaming request. */
-        const val PERIOD_MS = 60L
+        /** Delay of a report after a change; a small part of the duration of a stream. */
+        const val CHANGE_DELAY_MS = 60L
 
-        /** Keeps a process whose reports take about 200 bytes below 8 KB/s whatever the number of processes. */
-        const val PERIOD_MS_PER_PEER = 3L
+        /** Few processes can afford shorter delays, which make up for the way by the collectors. */
+        const val FEW_PEERS_CHANGE_DELAY_MS = 30L
+        const val FEW_PEERS = 32
 
-        /** Periods after which unchanged loads are sent again, in case a datagram was lost. */
-        const val RESEND_PERIODS = 5
+        /** Time after which unchanged loads are sent again, in case a datagram was lost. */
+        const val REPEAT_MS = 300L
 
         /** Totals are sent to this many processes of each other data centre, in case the first one has failed. */
         const val COLLECTOR_CANDIDATES = 2
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
@@ -36,9 +36,8 @@
     private val routing: RoutingState,
 ) {
     private val process = settings.processName
-    private val scheduler = EventLoopScheduler(loop)
     private val channel = PeerChannel(loop, settings.peerPort, events, ::onMessage)
-    private val loads = LoadExchange(settings, clock, routing.load, channel)
+    private val loads = LoadExchange(settings, clock, EventLoopScheduler(loop), routing.load, channel)
     private var peers: Set<String> = emptySet()
 
     /** Number of processes, this one included. */
@@ -47,7 +46,7 @@
     /** Binds at [host] and begins to send load reports. */
     fun start(host: String): ChannelFuture {
         val bound = channel.start(host)
-        tick()
+        loads.start()
         return bound
     }
 
@@ -67,11 +66,6 @@
         onStatus(key, replicaStatus)
     }
 
-    private fun tick() {
-        loads.tick()
-        scheduler.after(loads.periodMs) { tick() }
-    }
-
     private fun onMessage(message: PeerMessage) {
         val replica = message.replica
         if (replica == null) loads.onMessage(message) else onStatus(TargetKey(replica), message.replicaStatus)
--- a/entry/src/main/kotlin/auburnhall/entry/RelayTree.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelayTree.kt
@@ -10,6 +10,19 @@
     /** Number of child processes of a process; two levels below the controller hold 272. */
     const val FAN_OUT = 16
 
+    /** Number of levels below the controller in a tree of [processes] processes, the controller included; at least 1. */
+    fun levels(processes: Int): Int {
+        var levels = 1
+        var levelSize = FAN_OUT
+        var covered = 1 + levelSize
+        while (covered < processes) {
+            levels++
+            levelSize *= FAN_OUT
+            covered += levelSize
+        }
+        return levels
+    }
+
     /**
      * The processes from which [self] may take changes, in order of preference; none for [controller] itself.
      * [processes] are all known processes, with or without [self].
--- a/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
@@ -35,6 +35,9 @@
 
     /** Longest time, in milliseconds, that a watch of the store waits for a change. */
     val waitMs: Long
+
+    /** Longest time, in milliseconds, that a watch at another process waits for a change. */
+    val relayWaitMs: Long
 }
 
 /** Mirrors all keys of the store. Control thread only. */
@@ -130,7 +133,7 @@
 
     private fun waitMs(from: ChangeSource) =
         when {
-            from.peer != null -> RELAY_WATCH_WAIT_MS
+            from.peer != null -> timing.relayWaitMs
             disconnected -> RECOVERY_WATCH_WAIT_MS
             else -> timing.waitMs
         }
@@ -166,9 +169,6 @@
     }
 
     private companion object {
-        /** Longest wait of a watch at another process; kept short because ages add up over the levels of the tree. */
-        const val RELAY_WATCH_WAIT_MS = 200L
-
         /**
          * Longest wait of a watch of the store after a failed request, until it answers again: a request sent while the
          * store did not respond may never be answered.
--- a/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
@@ -94,22 +94,14 @@
         ) { gateway.queuedRequests }
     }
 
-    /** Binds the ports and starts the timers; call once, not on the traffic thread. */
+    /** Binds the ports and starts to exchange load reports; call once, not on the traffic thread. */
     fun start() {
         callers.bind(settings().callerListenAddress).sync()
-        scheduler.run {
-            peerMessenger.start(settings().host)
-            tick()
-        }
+        scheduler.run { peerMessenger.start(settings().host) }
     }
 
     private fun retryBounds(): RetryBounds =
         settings().bounds.let { RetryBounds(it.retryRatio, it.retryWindowMs, it.extraRetries) }
 
     private fun limits(): CallerLimits = context.state.configuration?.limits ?: CallerLimits.DEFAULT
-
-    private fun tick() {
-        gateway.tick()
-        scheduler.after(Gateway.TICK_PERIOD_MS) { tick() }
-    }
 }
--- a/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
@@ -134,6 +134,7 @@
     private object FixedTiming : MirrorTiming {
         override val batchMs = 0L
         override val waitMs = 3_000L
+        override val relayWaitMs = 200L
     }
 
     private class RecordingLeadershipListener : LeadershipListener {
--- a/entry/src/test/kotlin/auburnhall/entry/LoadExchangeTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/LoadExchangeTest.kt
@@ -21,23 +21,19 @@
         val dataCentre: String,
     ) : PeerSender {
         val load = LoadTracker(time)
-        val exchange = LoadExchange(settings(name, dataCentre), time, load, this)
+        val exchange = LoadExchange(settings(name, dataCentre), time, time, load, this)
         var failed = false
 
         fun start() {
             exchange.onPeers(processes.filterKeys { it != name }.mapValues { PeerProcess(it.key, it.value.dataCentre) })
-            tick()
-        }
-
-        private fun tick() {
-            if (!failed) exchange.tick()
-            time.after(exchange.periodMs) { tick() }
+            exchange.start()
         }
 
         override fun send(
             message: PeerMessage,
             names: Collection<String>,
         ) {
+            if (failed) return
             datagrams += names.size
             val sent = PeerMessage.decode(message.encode())
             val receivers = names.mapNotNull { processes[it] }
@@ -115,6 +111,26 @@
         assertTrue(datagrams < 130 * 130 * 10 / 20, "$datagrams datagrams in a second")
     }
 
+    @Test
+    fun `20 busy processes send less than a third of the datagrams that reporting to all would take`() {
+        startProcesses(20)
+        datagrams = 0
+        repeat(10) { round ->
+            processes.values.forEach { if (round % 2 == 0) it.load.begin(KEY, 10) else it.load.end(KEY, 10) }
+            time.advance(100)
+        }
+        assertTrue(datagrams < 20 * 19 * 10 / 3, "$datagrams datagrams in a second")
+    }
+
+    @Test
+    fun `processes without news send each other a few datagrams a second`() {
+        startProcesses(100)
+        datagrams = 0
+        time.advance(3_000)
+        val perProcess = datagrams / 100 / 3
+        assertTrue(perProcess <= 10, "$perProcess datagrams a second from each process")
+    }
+
     private companion object {
         val KEY = TargetKey("m/1@1")
     }
--- a/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
@@ -48,6 +48,7 @@
 
         override val batchMs = 0L
         override val waitMs: Long get() = if (server.hasClients) 200L else 3_000L
+        override val relayWaitMs: Long get() = 600L / RelayTree.levels(processes.size + 1)
 
         fun start() {
             mirror.relaySelector = RelaySelector(context, this, 2) { peer, _ -> InProcessSource(peer) }
--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -101,7 +101,7 @@
             }
         when (admission) {
             is Admission.Send -> send(admission.target)
-            is Admission.Wait -> inFlight.queue.add(this)
+            is Admission.Wait -> inFlight.enqueue(this)
             is Admission.Refuse -> outcomes.onNoTarget(admission)
         }
         return admission
--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -47,11 +47,6 @@
         inFlight.queue.dispatchAll()
     }
 
-    /** Dispatches waiting requests and checks for silent replicas; called every [TICK_PERIOD_MS] milliseconds. */
-    fun tick() {
-        inFlight.tick()
-    }
-
     /**
      * Ratio of the requests that all processes have in progress to the slots, by service and model; only for services
      * that are served by replicas.
@@ -102,9 +97,4 @@
             ByteArray(0),
         )
     }
-
-    companion object {
-        /** Period of [tick]: a small part of the shortest time after which a silent replica is suspected. */
-        const val TICK_PERIOD_MS = 40L
-    }
 }
--- a/routing/src/main/kotlin/auburnhall/routing/LoadTracker.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/LoadTracker.kt
@@ -35,6 +35,9 @@
     private val ownByKey = HashMap<TargetKey, TargetLoad>()
     private val reportsByPeer = HashMap<String, ReceivedLoad>()
 
+    /** Called when the load of this process has changed. */
+    var onOwnChange: () -> Unit = {}
+
     /** The load as totalled by the collector. */
     val aggregate = AggregateLoad(clock)
 
@@ -92,6 +95,7 @@
     ) {
         val updated = (ownByKey[key] ?: TargetLoad.NONE) + by
         if (updated.requests > 0) ownByKey[key] = updated else ownByKey.remove(key)
+        onOwnChange()
     }
 
     internal class ReceivedLoad(
