Bound what a worker without end and a slow caller can make a process hold

Cause: the body of a plain answer, an event under way and the answers to orders, probes and polls grew without a bound in a heap of 96 MB, interim and late responses were skipped for ever, and no write to a slow caller held back its worker. The call fails with the limit and the peer in the log (attempt.failed): 502, a cut stream, or a resumed one. A connection is not read while its caller does not keep up; its replica is not suspected meanwhile. Ruled out: passing plain bodies on in parts; a status once sent could not become a 502. Left of the issue's list: 200 slow callers at once, and the store's client.

--- a/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
@@ -117,11 +117,14 @@
         private val onSent: (Int, ByteArray) -> Unit,
     ) : ResponseWriter {
         override var onDisconnect: (() -> Unit)? = null
+        override var onWritabilityChange: (() -> Unit)? = null
+        override val writable = true
 
         override fun send(
             status: Int,
             headers: HttpHeaders,
             body: ByteArray,
+            onReleased: () -> Unit,
         ) = onSent(status, body)
 
         override fun start(
--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -89,6 +89,9 @@
     private var responseHead: WorkerResponseHead? = null
     private var headers: HttpHeaders? = null
     private val body = ByteArrayOutputStream()
+
+    /** The bytes of the response that are held; whoever passes the body on releases it. */
+    val buffer = context.buffers.open()
     private val events = EventSplitter()
     private var relaying = false
 
@@ -117,6 +120,13 @@
     /** Cancels the call; the listener is not called any more. */
     fun cancel() {
         call?.cancel()
+        buffer.release()
+    }
+
+    /** Stops or goes on reading the response, so that a worker is held back while the caller does not keep up. */
+    fun setReading(reading: Boolean) {
+        if (reading) lastProgressAtMs = context.clock.nowMs()
+        call?.setReading(reading)
     }
 
     /** Removes the request from the load of the target; further calls do nothing. */
@@ -147,12 +157,32 @@
             relay(bytes)
         } else {
             body.write(bytes)
+            checkLimits(body.size(), ResponseBuffers.MAX_BODY_BYTES, "body")
         }
     }
 
+    private fun checkLimits(
+        size: Int,
+        limit: Int,
+        part: String,
+    ) {
+        val cause =
+            when {
+                size > limit -> "$part of more than $limit bytes"
+                !buffer.hold(size) -> "$part of $size bytes: all responses hold ${context.buffers.heldBytes} bytes"
+                else -> return
+            }
+        cancel()
+        onFailure(CallFailure(CallStep.READ_BODY, target.worker.address, cause))
+    }
+
     private fun relay(bytes: ByteArray) {
         val completeEvents = events.add(bytes)
-        if (completeEvents.isEmpty()) return
+        if (completeEvents.isNotEmpty()) onEvents(completeEvents)
+        checkLimits(events.pendingBytes, ResponseBuffers.MAX_EVENT_BYTES, "event")
+    }
+
+    private fun onEvents(completeEvents: List<StreamEvent>) {
         onFirstEvent()
         lastProgressAtMs = context.clock.nowMs()
         context.failureDetector.onActivity(target.key)
@@ -181,6 +211,7 @@
     }
 
     override fun onFailure(failure: CallFailure) {
+        buffer.release()
         if (!failure.sent) sent = false
         listener.onFailure(this, failure)
     }
--- a/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
@@ -40,6 +40,7 @@
         if (attempt !== state.attempt) return
         context.health.onAnswer(attempt.target.key, error = false)
         state.end("served")
+        attempt.buffer.release()
         response.finishStream(remainder)
     }
 
@@ -58,12 +59,13 @@
             state.mayHaveExecuted = true
             state.detach(attempt)
         }
+        if (retry || response.streaming) attempt.buffer.release()
         when {
             response.streaming -> endWithError("worker refused to resume the stream with status ${head.status}")
             retry && request.tryRetry("worker_${head.status}") -> Unit
             else -> {
                 state.end(if (failed) "worker_error" else "served", "status" to head.status)
-                response.sendComplete(head.status, headers, body)
+                response.sendComplete(head.status, headers, body, attempt.buffer::release)
             }
         }
     }
@@ -72,14 +74,10 @@
         attempt: Attempt,
         head: WorkerResponseHead,
     ) {
+        attempt.buffer.release()
         if (attempt !== state.attempt) return
-        if (attempt.target.replica !=
-            null
-        ) {
-            context.health.markSuspect(attempt.target.key)
-        } else {
-            context.health.onFailure(attempt.target.key)
-        }
+        val key = attempt.target.key
+        if (attempt.target.replica != null) context.health.markSuspect(key) else context.health.onFailure(key)
         state.detach(attempt)
         val reason = "not_run_${head.status}"
         if (!state.hasAttemptsLeft || !request.tryRetry(reason)) onNoTarget(Admission.Refuse(reason, RETRY_AFTER_MS))
--- a/gateway/src/main/kotlin/auburnhall/gateway/CallerResponse.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/CallerResponse.kt
@@ -55,12 +55,16 @@
         response.finish()
     }
 
-    /** Sends a worker's complete response that is not a stream. */
+    /** Whether the caller keeps up with what is sent. */
+    val writable: Boolean get() = response.writable
+
+    /** Sends a worker's complete response that is not a stream; [onReleased] is called when its bytes are not held. */
     fun sendComplete(
         status: Int,
         headers: HttpHeaders,
         body: ByteArray,
-    ) = response.send(status, headers, body)
+        onReleased: () -> Unit,
+    ) = response.send(status, headers, body, onReleased)
 
     /**
      * Responds with status 503: the request was not executed and will not be. The caller may retry after [retryAfterMs]
--- a/gateway/src/main/kotlin/auburnhall/gateway/EventSplitter.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/EventSplitter.kt
@@ -17,6 +17,9 @@
     private val buffer = ByteArrayOutputStream()
     private var consecutiveNewlines = 0
 
+    /** Number of bytes received after the last complete event. */
+    val pendingBytes: Int get() = buffer.size()
+
     /** Bytes received after the last complete event. */
     val remainder: ByteArray get() = buffer.toByteArray()
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -38,6 +38,7 @@
     /** Starts forwarding; called once. */
     fun start() {
         response.onDisconnect = { outcomes.onCallerDisconnected() }
+        response.onWritabilityChange = { state.attempt?.setReading(response.writable) }
         state.deadlineTask =
             context.scheduler.after(accepted.deadlineMs - context.clock.nowMs()) { outcomes.onDeadline() }
         dispatch()
@@ -53,11 +54,12 @@
     fun dispatch(): Boolean = state.ended || decide() !is Admission.Wait
 
     /**
-     * Suspects the replica of the current attempt if it has sent nothing for too long. Once the replica counts as lost,
+     * Suspects the replica of the current attempt if it has sent nothing for too long, unless its response is not read
+     * because the caller does not keep up. Once the replica counts as lost,
      * retries the request at another target if the request may be repeated and there is such a target.
      */
     fun checkReplica() {
-        val current = state.attempt ?: return
+        val current = state.attempt?.takeIf { response.writable } ?: return
         val key = current.target.key
         val liveness = context.failureDetector.liveness(key, current.lastProgressAtMs, current.hasEvents)
         if (liveness != Liveness.ALIVE && !context.health.isSuspect(key)) suspect(current)
@@ -115,6 +117,7 @@
         state.attempt = attempt
         if (target.replica != null) inFlight.supervise(this)
         attempt.send()
+        if (!response.writable) attempt.setReading(false)
     }
 
     private fun suspect(current: Attempt) {
--- a/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
@@ -95,6 +95,8 @@
     val metrics = observers.metrics
     val suspicionListener = observers.suspicionListener
 
+    val buffers = ResponseBuffers()
+
     /** The current configuration and targets. */
     var state: GatewayState = GatewayState.EMPTY
 }
--- a/gateway/src/test/kotlin/auburnhall/gateway/ScriptedWorker.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/ScriptedWorker.kt
@@ -9,6 +9,7 @@
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicLong
 
 /** The response to one request. */
 sealed interface Script {
@@ -22,6 +23,12 @@
         val text: String,
     ) : Script
 
+    /** Send [head], then [part] again and again until the connection is closed. */
+    data class Endless(
+        val head: String,
+        val part: String,
+    ) : Script
+
     /** Read the request and send nothing. */
     data object NoResponse : Script
 }
@@ -37,6 +44,9 @@
     /** Heads of the requests that were received. */
     val requests = CopyOnWriteArrayList<String>()
 
+    /** Bytes of endless responses that the connections have taken. */
+    val endlessBytes = AtomicLong()
+
     /** Connections that were closed. */
     val closedConnections = LinkedBlockingQueue<Socket>()
     val port: Int get() = server.localPort
@@ -65,6 +75,7 @@
             requests.add(head)
             when (val script = remainingScripts.poll() ?: Script.NoResponse) {
                 is Script.Send -> write(socket, script.text)
+                is Script.Endless -> writeEndlessly(socket, script)
                 is Script.NoResponse -> Unit
                 is Script.Reset -> {
                     write(socket, script.text)
@@ -102,9 +113,27 @@
         socket.getOutputStream().flush()
     }
 
+    private fun writeEndlessly(
+        socket: Socket,
+        script: Script.Endless,
+    ) {
+        write(socket, script.head)
+        val part = script.part.repeat(ENDLESS_WRITE_BYTES / script.part.length).toByteArray()
+        while (runCatching {
+                socket.getOutputStream().write(
+                    part,
+                )
+            }.isSuccess
+        ) {
+            endlessBytes.addAndGet(part.size.toLong())
+        }
+        socket.close()
+    }
+
     private fun startDaemon(task: () -> Unit) = Thread(task).apply { isDaemon = true }.start()
 
     private companion object {
         const val CLOSE_TIMEOUT_S = 20L
+        const val ENDLESS_WRITE_BYTES = 65_536
     }
 }
--- a/http/src/main/kotlin/auburnhall/http/BufferedHttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/BufferedHttpClient.kt
@@ -1,5 +1,5 @@
 /*
- * HTTP calls with a timeout, whose response is buffered and returned as a whole, such as those to the store.
+ * HTTP calls with a timeout, whose response is buffered up to a limit and returned as a whole, such as those to the store.
  */
 package auburnhall.http
 
@@ -30,16 +30,21 @@
     private val client: HttpClient,
     private val scheduler: Scheduler,
 ) {
-    /** Sends [request] to [peer]; [done] gets the result after at most [timeoutMs] milliseconds. */
+    /**
+     * Sends [request] to [peer]; [done] gets the result after at most [timeoutMs] milliseconds. The call fails when the
+     * body of the response has more than [maxBodyBytes] bytes.
+     */
     fun call(
         peer: Address,
         request: OutboundRequest,
         timeoutMs: Long,
+        maxBodyBytes: Int = MAX_BODY_BYTES,
         done: (BufferedResult) -> Unit,
     ): OutboundCall {
-        val collector = ResponseCollector(peer, done)
+        val collector = ResponseCollector(peer, maxBodyBytes, done)
         val options = CallOptions(timeoutMs.toInt(), MAX_CONNECTION_IDLE_MS)
         val call = client.send(peer, request, options, collector)
+        collector.call = call
         collector.timeoutTask =
             scheduler.after(timeoutMs) {
                 call.cancel()
@@ -51,8 +56,10 @@
 
     private class ResponseCollector(
         private val peer: Address,
+        private val maxBodyBytes: Int,
         private val done: (BufferedResult) -> Unit,
     ) : ResponseListener {
+        var call: OutboundCall? = null
         var timeoutTask: auburnhall.core.ScheduledTask? = null
         var finished = false
         private var status = 0
@@ -66,7 +73,12 @@
         }
 
         override fun onContent(content: ByteBuf) {
-            content.readBytes(body, content.readableBytes())
+            if (body.size() + content.readableBytes() > maxBodyBytes) {
+                call?.cancel()
+                finish(BufferedResult.Failed(peer, "response of more than $maxBodyBytes bytes", sent = true))
+            } else {
+                content.readBytes(body, content.readableBytes())
+            }
         }
 
         override fun onEnd() = finish(BufferedResult.Completed(status, body.toByteArray()))
@@ -82,6 +94,9 @@
     }
 
     private companion object {
+        /** Several times the longest page of the store, as its text encoding. */
+        const val MAX_BODY_BYTES = 8_388_608
+
         const val MAX_CONNECTION_IDLE_MS = 20_000L
     }
 }
--- a/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
@@ -63,6 +63,11 @@
         current?.onConnectionClosed()
     }
 
+    override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
+        current?.onWritabilityChange?.invoke()
+        ctx.fireChannelWritabilityChanged()
+    }
+
     override fun exceptionCaught(
         ctx: ChannelHandlerContext,
         cause: Throwable,
--- a/http/src/main/kotlin/auburnhall/http/CallerResponseWriter.kt
+++ b/http/src/main/kotlin/auburnhall/http/CallerResponseWriter.kt
@@ -5,6 +5,7 @@
 
 import io.netty.buffer.ByteBuf
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -25,6 +26,8 @@
     private val onResponseEnded: (keepAlive: Boolean) -> Unit,
 ) : ResponseWriter {
     override var onDisconnect: (() -> Unit)? = null
+    override var onWritabilityChange: (() -> Unit)? = null
+    override val writable: Boolean get() = context.channel().isWritable
     private var ended = false
     private var closeAfterwards = !keepAlive
 
@@ -32,8 +35,12 @@
         status: Int,
         headers: HttpHeaders,
         body: ByteArray,
+        onReleased: () -> Unit,
     ) {
-        if (ended) return
+        if (ended) {
+            onReleased()
+            return
+        }
         val content = Unpooled.wrappedBuffer(body)
         val response =
             DefaultFullHttpResponse(
@@ -45,7 +52,7 @@
             )
         headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         setConnectionHeader(headers)
-        complete(response)
+        complete(response).addListener { onReleased() }
     }
 
     override fun start(
@@ -90,10 +97,11 @@
         if (closeAfterwards) headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
     }
 
-    private fun complete(message: Any) {
+    private fun complete(message: Any): ChannelFuture {
         ended = true
         val written = context.writeAndFlush(message)
         if (closeAfterwards) written.addListener { context.close() }
         onResponseEnded(!closeAfterwards)
+        return written
     }
 }
--- a/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
@@ -1,7 +1,7 @@
 /*
  * One connection to another process. It is closed when bytes arrive while no call is in progress, since later bytes
  * could not be attributed to a call. A late response to an earlier call is recognised by its correlation header and
- * dropped.
+ * dropped. What is dropped, late and interim responses, is bounded, since a faulty peer may send it without end.
  */
 package auburnhall.http
 
@@ -121,6 +121,7 @@
         call = null
         val reusable = finished.keepAlive && finished.written && error == null
         if (reusable) {
+            context.channel().config().isAutoRead = true
             idleSinceMs = clock.nowMs()
             client.onIdle(this)
         } else {
@@ -137,6 +138,12 @@
         var keepAlive = false
         var written = false
         private var dropping = false
+        private var droppedHeads = 0
+        private var droppedBytes = 0
+
+        override fun setReading(reading: Boolean) {
+            if (call === this) context.channel().config().isAutoRead = reading
+        }
 
         override fun cancel() {
             if (call === this) {
@@ -156,6 +163,11 @@
             val interim = response.status().code() < FIRST_FINAL_STATUS
             if (dropping || interim) {
                 dropping = true
+                if (++droppedHeads >
+                    MAX_DROPPED_HEADS
+                ) {
+                    fail(this, "more than $MAX_DROPPED_HEADS interim or late responses")
+                }
                 return
             }
             step = CallStep.READ_BODY
@@ -168,15 +180,27 @@
             if (!dropping) {
                 if (content.content().isReadable) listener.onContent(content.content())
                 if (content is LastHttpContent && call === this) complete(this)
-            } else if (content is LastHttpContent) {
-                dropping = false
+            } else {
+                onDropped(content)
             }
         }
+
+        private fun onDropped(content: HttpContent) {
+            droppedBytes += content.content().readableBytes()
+            if (droppedBytes > MAX_DROPPED_BYTES) fail(this, "late response of more than $MAX_DROPPED_BYTES bytes")
+            if (content is LastHttpContent) dropping = false
+        }
     }
 
     private companion object {
         const val FIRST_FINAL_STATUS = 200
 
+        /** Interim and late responses before the response to a call; a few are normal. */
+        const val MAX_DROPPED_HEADS = 16
+
+        /** Bytes of the bodies of late responses; a connection that carries more is not worth keeping. */
+        const val MAX_DROPPED_BYTES = 1_048_576
+
         /**
          * Share of the peer's idle timeout during which a connection is reused, so that the peer does not close it
          * while a request is being sent.
--- a/http/src/main/kotlin/auburnhall/http/HttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpClient.kt
@@ -124,6 +124,7 @@
 ) : OutboundCall {
     private var call: OutboundCall? = null
     private var cancelled = false
+    private var reading = true
 
     fun startWhenConnected(future: ChannelFuture) {
         future.addListener { onConnected(future) }
@@ -133,12 +134,17 @@
         if (cancelled) {
             future.channel().close()
         } else if (future.isSuccess) {
-            call = connection.start(request, listener)
+            call = connection.start(request, listener).also { it.setReading(reading) }
         } else {
             listener.onFailure(CallFailure(CallStep.CONNECT, connection.peer, describe(future.cause())))
         }
     }
 
+    override fun setReading(reading: Boolean) {
+        this.reading = reading
+        call?.setReading(reading)
+    }
+
     override fun cancel() {
         cancelled = true
         call?.cancel()
--- a/http/src/main/kotlin/auburnhall/http/InboundRequest.kt
+++ b/http/src/main/kotlin/auburnhall/http/InboundRequest.kt
@@ -25,11 +25,18 @@
     /** Called when the caller's connection is closed before the response is complete. */
     var onDisconnect: (() -> Unit)?
 
-    /** Sends a complete response. */
+    /** Called when [writable] has changed. */
+    var onWritabilityChange: (() -> Unit)?
+
+    /** Whether the caller keeps up with what is written; a writer that does not wait for it fills the memory. */
+    val writable: Boolean
+
+    /** Sends a complete response; [onReleased] is called when its bytes are no longer held in memory. */
     fun send(
         status: Int,
         headers: HttpHeaders,
         body: ByteArray,
+        onReleased: () -> Unit = {},
     )
 
     /** Starts a response of unknown length. */
--- a/http/src/main/kotlin/auburnhall/http/OutboundCall.kt
+++ b/http/src/main/kotlin/auburnhall/http/OutboundCall.kt
@@ -64,6 +64,9 @@
 
 /** A call in progress. */
 interface OutboundCall {
+    /** Whether the response is read; while it is not, the peer is held back by the connection's flow control. */
+    fun setReading(reading: Boolean)
+
     /** Cancels the call: its connection is closed and the listener is not called any more. */
     fun cancel()
 }
