Let few processes claim the controller key, and not again at once

Cause: when no controller was known, each of 131 processes asked for a lease and wrote under a condition within 200 ms, and the losers again every 100 to 300 ms until their mirror, up to 0.6 s late, showed the winner: two calls each. Change: the random delay before a claim grows with the known processes (8 ms each, 0.2 to 1 s); the claim is dropped if the mirror shows a controller by then; 0.4 s without another one after a claim that failed. Ruled out: an order of claims by name: a process that is gone, and first in it, would hold up the others.

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -48,7 +48,7 @@
     /** Relays the store's changes to other processes. */
     val relay = RelayServer(context.clock, context.scheduler, mirror)
     private val registration = ProcessRegistration(context)
-    private val leadership: Leadership = Leadership(context, this)
+    private val leadership: Leadership = Leadership(context, this, MirroredElection())
 
     /** Controls the replicas while this process is the controller. */
     val replicas = ReplicaControllers(view, workers, context, listener)
@@ -110,6 +110,12 @@
         if (mirror.loaded && mirror.find(Leadership.CONTROLLER_KEY) == null) leadership.onNoLeader()
     }
 
+    private inner class MirroredElection : ElectionState {
+        override val vacant: Boolean get() = mirror.find(Leadership.CONTROLLER_KEY) == null
+
+        override val processes: Int get() = view.peers.size + 1
+    }
+
     private fun tick() {
         val now = context.clock.nowMs()
         if (now - tickDueAtMs >= STALL_THRESHOLD_MS) replicas.onStall(now - tickDueAtMs)
--- a/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
@@ -22,14 +22,25 @@
     fun onLeadershipLost()
 }
 
+/** What this process knows of the election. */
+interface ElectionState {
+    /** Whether no process is known to hold the controller key. */
+    val vacant: Boolean
+
+    /** Number of known processes, this one included. */
+    val processes: Int
+}
+
 /** Claims the controller key for this process and renews its lease. Control thread only. */
 class Leadership(
     private val context: ControlContext,
     private val listener: LeadershipListener,
+    private val election: ElectionState,
 ) {
     private val ttlMs = maxOf(LEASE_TTL_MS, context.settings.minLeaseMs)
     private var lease: StoreLease? = null
     private var claiming = false
+    private var pausedUntilMs = 0L
 
     @Volatile
     private var leading = false
@@ -53,11 +64,17 @@
         if (revision > electedRevision) endTerm("the controller key was removed from the store")
     }
 
-    /** The mirror holds no controller key; claims it after a random delay. */
+    /**
+     * The mirror holds no controller key; claims it after a random delay, unless another process is seen to hold it by
+     * then. The delays grow with the number of processes, so that few of them call the store.
+     */
     fun onNoLeader() {
-        if (claiming || stopped || leading) return
+        if (claiming || stopped || leading || context.clock.nowMs() < pausedUntilMs) return
         claiming = true
-        context.scheduler.after(context.random.nextLong(CLAIM_JITTER_MS)) { grantAndClaim() }
+        val maxDelayMs = (election.processes * CLAIM_SPACING_MS).coerceIn(MIN_CLAIM_DELAY_MS, MAX_CLAIM_DELAY_MS)
+        context.scheduler.after(context.random.nextLong(maxDelayMs)) {
+            if (election.vacant) grantAndClaim() else claiming = false
+        }
     }
 
     /** Ends the term and the lease because this process stops. */
@@ -78,10 +95,15 @@
         context.store.grantLease(ttlMs) { result ->
             result
                 .onSuccess { claim(it, requestedAtMs) }
-                .onFailure { claiming = false }
+                .onFailure { pauseClaims() }
         }
     }
 
+    private fun pauseClaims() {
+        claiming = false
+        pausedUntilMs = context.clock.nowMs() + CLAIM_PAUSE_MS
+    }
+
     private fun claim(
         granted: StoreLease,
         requestedAtMs: Long,
@@ -93,10 +115,15 @@
             claiming = false
             result
                 .onSuccess { revision -> beginTerm(granted, revision) }
-                .onFailure { if (it is StoreError.Conflict) lease = null }
+                .onFailure { onClaimFailed(it) }
         }
     }
 
+    private fun onClaimFailed(error: StoreError) {
+        pauseClaims()
+        if (error is StoreError.Conflict) lease = null
+    }
+
     private fun beginTerm(
         held: StoreLease,
         revision: Long,
@@ -142,8 +169,13 @@
         /** The term ends this much before the lease, since orders in flight at its end arrive within this time. */
         private const val LEASE_SAFETY_MARGIN_MS = 300L
 
-        /** Upper bound of the random delay before a claim, so that not all processes write at once. */
-        private const val CLAIM_JITTER_MS = 200L
+        /** Mean time between the claims of two processes; about the time after which the others see the first one. */
+        private const val CLAIM_SPACING_MS = 8L
+        private const val MIN_CLAIM_DELAY_MS = 200L
+        private const val MAX_CLAIM_DELAY_MS = 1_000L
+
+        /** Pause after a claim that failed; by then the mirror shows the process that was faster. */
+        private const val CLAIM_PAUSE_MS = 400L
     }
 }
 
