--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -119,13 +119,14 @@
     private fun tick() {
         val now = context.clock.nowMs()
         if (now - tickDueAtMs >= STALL_THRESHOLD_MS) replicas.onStall(now - tickDueAtMs)
-        tickDueAtMs = now + TICK_PERIOD_MS
+        val periodMs = if (leadership.isLeading) TICK_PERIOD_MS else FOLLOWER_TICK_PERIOD_MS
+        tickDueAtMs = now + periodMs
         view.expire()
         mirror.checkAge()
         leadership.check()
         claimIfVacant()
         replicas.decide()
-        context.scheduler.after(TICK_PERIOD_MS) { tick() }
+        context.scheduler.after(periodMs) { tick() }
     }
 
     private inner class ControlTiming : MirrorTiming {
@@ -140,6 +141,9 @@
     private companion object {
         const val TICK_PERIOD_MS = 100L
 
+        /** Period of processes that do not control replicas; a small part of the age at which their state is too old. */
+        const val FOLLOWER_TICK_PERIOD_MS = 200L
+
         /** Delay of a tick that is reported as a stall: a large part of the time that a probe may take. */
         const val STALL_THRESHOLD_MS = 50L
 
