--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -141,7 +141,7 @@
     private companion object {
         const val TICK_PERIOD_MS = 100L
 
-        /** Period of processes that do not control replicas; a small part of the age at which their state is too old. */
+        /** Period of other processes: a small part of the age at which their state is too old. */
         const val FOLLOWER_TICK_PERIOD_MS = 200L
 
         /** Delay of a tick that is reported as a stall: a large part of the time that a probe may take. */
@@ -160,8 +160,8 @@
         const val FOLLOWER_BATCH_MS = 600L
 
         /**
-         * Sum of the longest waits for changes over all levels of the relay tree: the ages of the levels add up and must
-         * stay below [RelayServer.MAX_AGE_MS], also on slow machines.
+         * Sum of the longest waits for changes over all levels of the relay tree: the ages of the levels add up and
+         * must stay below [RelayServer.MAX_AGE_MS], also on slow machines.
          */
         const val RELAY_WAIT_SUM_MS = 600L
 
--- a/entry/src/main/kotlin/auburnhall/entry/LoadExchange.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/LoadExchange.kt
@@ -1,8 +1,8 @@
 /*
  * Exchanges load reports between the processes: how much work each has at which target. With few processes, each sends
  * its report to all others. With many, that would take too many datagrams, so each reports to a collector of its data
- * centre, which adds the reports up and sends the totals back. Reports are sent soon after a change; while nothing changes,
- * they are only repeated now and then, in case a datagram was lost.
+ * centre, which adds the reports up and sends the totals back. Reports are sent soon after a change; while nothing
+ * changes, they are only repeated now and then, in case a datagram was lost.
  */
 package auburnhall.entry
 
--- a/entry/src/main/kotlin/auburnhall/entry/RelayTree.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelayTree.kt
@@ -10,7 +10,7 @@
     /** Number of child processes of a process; two levels below the controller hold 272. */
     const val FAN_OUT = 16
 
-    /** Number of levels below the controller in a tree of [processes] processes, the controller included; at least 1. */
+    /** Number of levels below the controller, at least 1, in a tree of [processes] processes with the controller. */
     fun levels(processes: Int): Int {
         var levels = 1
         var levelSize = FAN_OUT
--- a/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
@@ -168,7 +168,8 @@
     @Test
     fun `one of two processes is elected, and the other one after the first has revoked its lease`() {
         val listeners = List(2) { RecordingLeadershipListener() }
-        val processes = listeners.mapIndexed { index, listener -> Leadership(context("p$index"), listener, KnownElection(2)) }
+        val processes =
+            listeners.mapIndexed { index, listener -> Leadership(context("p$index"), listener, KnownElection(2)) }
         tick(processes, times = 5)
         assertEquals(1, processes.count { it.isLeading })
         val leader = processes.first { it.isLeading }
@@ -201,7 +202,11 @@
             time.advance(100)
         }
         assertEquals(1, processes.count { it.isLeading })
-        val calls = store.calls.filterKeys { it != "watch" && it != "range" }.values.sum()
+        val calls =
+            store.calls
+                .filterKeys { it != "watch" && it != "range" }
+                .values
+                .sum()
         assertTrue(calls < 60, store.calls.toString())
     }
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -153,36 +153,23 @@
     override fun onContent(content: ByteBuf) {
         val bytes = ByteArray(content.readableBytes())
         content.readBytes(bytes)
-        if (relaying) {
-            relay(bytes)
-        } else {
-            body.write(bytes)
-            checkLimits(body.size(), ResponseBuffers.MAX_BODY_BYTES, "body")
-        }
-    }
-
-    private fun checkLimits(
-        size: Int,
-        limit: Int,
-        part: String,
-    ) {
-        val cause =
-            when {
-                size > limit -> "$part of more than $limit bytes"
-                !buffer.hold(size) -> "$part of $size bytes: all responses hold ${context.buffers.heldBytes} bytes"
-                else -> return
+        val exceeded =
+            if (relaying) {
+                relay(bytes)
+                buffer.exceeded(events.pendingBytes, ResponseBuffers.MAX_EVENT_BYTES, "event")
+            } else {
+                body.write(bytes)
+                buffer.exceeded(body.size(), ResponseBuffers.MAX_BODY_BYTES, "body")
             }
-        cancel()
-        onFailure(CallFailure(CallStep.READ_BODY, target.worker.address, cause))
+        if (exceeded != null) {
+            cancel()
+            onFailure(CallFailure(CallStep.READ_BODY, target.worker.address, exceeded))
+        }
     }
 
     private fun relay(bytes: ByteArray) {
         val completeEvents = events.add(bytes)
-        if (completeEvents.isNotEmpty()) onEvents(completeEvents)
-        checkLimits(events.pendingBytes, ResponseBuffers.MAX_EVENT_BYTES, "event")
-    }
-
-    private fun onEvents(completeEvents: List<StreamEvent>) {
+        if (completeEvents.isEmpty()) return
         onFirstEvent()
         lastProgressAtMs = context.clock.nowMs()
         context.failureDetector.onActivity(target.key)
--- a/gateway/src/main/kotlin/auburnhall/gateway/InFlightRequests.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/InFlightRequests.kt
@@ -1,6 +1,6 @@
 /*
- * The requests that a process queues until a slot is free, and those whose replicas it supervises. Their timer runs only
- * while there are any, so that an idle process sleeps.
+ * The requests that a process queues until a slot is free, and those whose replicas it supervises. Their timer runs
+ * only while there are any, so that an idle process sleeps.
  */
 package auburnhall.gateway
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/ResponseBuffers.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ResponseBuffers.kt
@@ -1,6 +1,6 @@
 /*
- * Limits on the bytes of workers' responses that a process holds in memory. A faulty worker may send bytes without end, to
- * many requests at once, and a caller may be slow to read; neither may use up the memory that all requests share.
+ * Limits on the bytes of workers' responses that a process holds in memory. A faulty worker may send bytes without end,
+ * to many requests at once, and a caller may be slow to read; neither may use up the memory that all requests share.
  */
 package auburnhall.gateway
 
@@ -33,7 +33,7 @@
         /** Most bytes of all responses together, beyond the first ones of each; a small part of the heap. */
         const val MAX_TOTAL_BYTES = 16_777_216L
 
-        /** First bytes of each response, for which there is always room, so that long responses do not fail short ones. */
+        /** First bytes of each response, for which there is always room, so that long ones do not fail short ones. */
         const val FREE_BYTES = 65_536L
     }
 }
@@ -47,14 +47,25 @@
 
     /** Records that the response now holds [bytes]; false if all responses together would hold too many. */
     fun hold(bytes: Int): Boolean {
-        val target = (bytes - ResponseBuffers.FREE_BYTES).coerceAtLeast(0)
-        if (released) return true
-        if (target > counted && !all.tryHold(target - counted)) return false
+        val target = if (released) counted else (bytes - ResponseBuffers.FREE_BYTES).coerceAtLeast(0)
+        val fits = target <= counted || all.tryHold(target - counted)
         if (target < counted) all.release(counted - target)
-        counted = target
-        return true
+        if (fits) counted = target
+        return fits
     }
 
+    /** As [hold], with at most [limit] bytes; returns which limit [part] of the response exceeds, null for none. */
+    fun exceeded(
+        bytes: Int,
+        limit: Int,
+        part: String,
+    ): String? =
+        when {
+            bytes > limit -> "$part of more than $limit bytes"
+            !hold(bytes) -> "$part of $bytes bytes, while all responses together hold ${all.heldBytes} bytes"
+            else -> null
+        }
+
     /** The response's bytes are no longer held; further calls do nothing. */
     fun release() {
         if (released) return
--- a/http/src/main/kotlin/auburnhall/http/BufferedHttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/BufferedHttpClient.kt
@@ -1,5 +1,6 @@
 /*
- * HTTP calls with a timeout, whose response is buffered up to a limit and returned as a whole, such as those to the store.
+ * HTTP calls with a timeout, whose response is buffered up to a limit and returned as a whole, such as those to the
+ * store.
  */
 package auburnhall.http
 
--- a/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
@@ -30,7 +30,7 @@
     private var lastActivityAtMs = clock.nowMs()
     private var refused = false
 
-    /** Records when bytes arrive, before they are decoded. */
+    /** Records when bytes arrive, before they are decoded, and tells the response whether the caller keeps up. */
     val arrivalHandler =
         object : ChannelInboundHandlerAdapter() {
             override fun channelRead(
@@ -41,6 +41,11 @@
                 aggregator.onArrival()
                 ctx.fireChannelRead(message)
             }
+
+            override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
+                current?.onWritabilityChange?.invoke()
+                ctx.fireChannelWritabilityChanged()
+            }
         }
 
     /** Whether a request is in progress, queued or partly received. */
@@ -63,11 +68,6 @@
         current?.onConnectionClosed()
     }
 
-    override fun channelWritabilityChanged(ctx: ChannelHandlerContext) {
-        current?.onWritabilityChange?.invoke()
-        ctx.fireChannelWritabilityChanged()
-    }
-
     override fun exceptionCaught(
         ctx: ChannelHandlerContext,
         cause: Throwable,
--- a/standin/src/main/kotlin/auburnhall/standin/Main.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/Main.kt
@@ -21,7 +21,7 @@
     var call: String? = null
 }
 
-/** Prints the ports of the store and of the control endpoint, then waits; with `--call`, makes sample calls and exits. */
+/** Prints the ports of the store and of the control endpoint and waits, or with `--call` makes sample calls. */
 fun main(args: Array<String>) {
     val entry = parse(args).call?.let { Address.parse(it) }
     if (entry != null) exitProcess(if (SampleCaller(entry).run()) 0 else EXIT_FAILED)
