--- a/gateway/src/test/kotlin/auburnhall/gateway/EndlessResponseTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/EndlessResponseTest.kt
@@ -23,6 +23,7 @@
         serve(endless)
         assertTrue(call("/unsafe/x", method = "POST").startsWith("HTTP/1.1 502"))
         assertTrue(endless.awaitConnectionClose())
+        assertTrue(endless.endlessBytes.get() < MAX_IN_TRANSIT_BYTES)
         assertEquals(0, heldBytes())
     }
 
@@ -34,6 +35,7 @@
         assertTrue(endless.awaitConnectionClose())
         assertFalse(response.endsWith(lastChunk), "complete")
         assertFalse(response.contains("xx"), "passed on")
+        assertTrue(endless.endlessBytes.get() < MAX_IN_TRANSIT_BYTES)
         assertEquals(0, heldBytes())
     }
 
@@ -54,8 +56,11 @@
 
     @Test
     fun `a late response without end to another request gets status 502`() {
-        serve(worker(Script.Endless("HTTP/1.1 200 OK\r\nid: q0\r\n\r\n", "x")))
+        val endless = worker(Script.Endless("HTTP/1.1 200 OK\r\nid: q0\r\n\r\n", "x"))
+        serve(endless)
         assertTrue(call("/unsafe/x", method = "POST").startsWith("HTTP/1.1 502"))
+        assertTrue(endless.awaitConnectionClose())
+        assertTrue(endless.endlessBytes.get() < MAX_IN_TRANSIT_BYTES)
     }
 
     @Test
