--- a/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
@@ -22,25 +22,15 @@
     fun onLeadershipLost()
 }
 
-/** What this process knows of the election. */
-interface ElectionState {
-    /** Whether no process is known to hold the controller key. */
-    val vacant: Boolean
-
-    /** Number of known processes, this one included. */
-    val processes: Int
-}
-
 /** Claims the controller key for this process and renews its lease. Control thread only. */
 class Leadership(
     private val context: ControlContext,
     private val listener: LeadershipListener,
-    private val election: ElectionState,
+    election: ElectionState,
 ) {
+    private val claims = ClaimTimer(context, election, ::grantAndClaim)
     private val ttlMs = maxOf(LEASE_TTL_MS, context.settings.minLeaseMs)
     private var lease: StoreLease? = null
-    private var claiming = false
-    private var pausedUntilMs = 0L
 
     @Volatile
     private var leading = false
@@ -64,17 +54,9 @@
         if (revision > electedRevision) endTerm("the controller key was removed from the store")
     }
 
-    /**
-     * The mirror holds no controller key; claims it after a random delay, unless another process is seen to hold it by
-     * then. The delays grow with the number of processes, so that few of them call the store.
-     */
+    /** The mirror holds no controller key; claims it, unless another process is faster. */
     fun onNoLeader() {
-        if (claiming || stopped || leading || context.clock.nowMs() < pausedUntilMs) return
-        claiming = true
-        val maxDelayMs = (election.processes * CLAIM_SPACING_MS).coerceIn(MIN_CLAIM_DELAY_MS, MAX_CLAIM_DELAY_MS)
-        context.scheduler.after(context.random.nextLong(maxDelayMs)) {
-            if (election.vacant) grantAndClaim() else claiming = false
-        }
+        if (!stopped && !leading) claims.schedule()
     }
 
     /** Ends the term and the lease because this process stops. */
@@ -91,19 +73,15 @@
     }
 
     private fun grantAndClaim() {
+        if (stopped) return
         val requestedAtMs = context.clock.nowMs()
         context.store.grantLease(ttlMs) { result ->
             result
                 .onSuccess { claim(it, requestedAtMs) }
-                .onFailure { pauseClaims() }
+                .onFailure { claims.onFailed() }
         }
     }
 
-    private fun pauseClaims() {
-        claiming = false
-        pausedUntilMs = context.clock.nowMs() + CLAIM_PAUSE_MS
-    }
-
     private fun claim(
         granted: StoreLease,
         requestedAtMs: Long,
@@ -112,22 +90,22 @@
         validUntilMs = requestedAtMs + granted.ttlMs - LEASE_SAFETY_MARGIN_MS
         val put = StoreTransaction.Put(CONTROLLER_KEY, granted.controllerValue(context).toByteArray(), granted.id)
         context.store.commit(StoreTransaction(mapOf(CONTROLLER_KEY to 0L), listOf(put))) { result ->
-            claiming = false
             result
-                .onSuccess { revision -> beginTerm(granted, revision) }
-                .onFailure { onClaimFailed(it) }
+                .onSuccess { revision ->
+                    claims.onSucceeded()
+                    beginTerm(granted, revision)
+                }.onFailure {
+                    claims.onFailed()
+                    if (it is StoreError.Conflict) lease = null
+                }
         }
     }
 
-    private fun onClaimFailed(error: StoreError) {
-        pauseClaims()
-        if (error is StoreError.Conflict) lease = null
-    }
-
     private fun beginTerm(
         held: StoreLease,
         revision: Long,
     ) {
+        if (stopped) context.store.revokeLease(held.id) { }
         if (leading || stopped) return
         leading = true
         electedRevision = revision
@@ -168,14 +146,6 @@
 
         /** The term ends this much before the lease, since orders in flight at its end arrive within this time. */
         private const val LEASE_SAFETY_MARGIN_MS = 300L
-
-        /** Mean time between the claims of two processes; about the time after which the others see the first one. */
-        private const val CLAIM_SPACING_MS = 8L
-        private const val MIN_CLAIM_DELAY_MS = 200L
-        private const val MAX_CLAIM_DELAY_MS = 1_000L
-
-        /** Pause after a claim that failed; by then the mirror shows the process that was faster. */
-        private const val CLAIM_PAUSE_MS = 400L
     }
 }
 
