Check the replicas of streams when their state can change, not every 40 ms

The check took 63 us 25 times a second in each process with a stream, and found nothing to do: a replica that sends is suspected 300 ms after its last event at the earliest. The detector now says when the state of a replica changes next, and the timer is set to it. A replica that the controller tears down is acted on at once, not within 40 ms.

--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
@@ -25,6 +25,8 @@
     val targets: () -> TargetTable,
     /** Called for replicas that this or another process suspects to have failed. */
     val onSuspect: (Replica) -> Unit,
+    /** Called when the controller tears a replica down. */
+    val onLost: () -> Unit,
 )
 
 /** Sends messages to the other processes and applies those received. Traffic thread only. */
@@ -77,7 +79,10 @@
     ) {
         val replica = routing.targets().find(key)?.replica ?: return
         when (replicaStatus) {
-            ReplicaStatus.TEARDOWN -> routing.health.markLost(key)
+            ReplicaStatus.TEARDOWN -> {
+                routing.health.markLost(key)
+                routing.onLost()
+            }
             ReplicaStatus.SLOW -> routing.health.slow.mark(key)
             ReplicaStatus.SUSPECT -> {
                 routing.health.markSuspect(key)
--- a/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
@@ -71,7 +71,13 @@
             loop,
             clock,
             listener,
-            RoutingState(load, health, failureDetector, { context.state.targets }, onSuspect),
+            RoutingState(
+                load,
+                health,
+                failureDetector,
+                { context.state.targets },
+                onSuspect,
+            ) { gateway.onReplicaLost() },
         )
 
     val gateway = Gateway(context, FilterChain({ context.state.configuration }, random))
--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -55,11 +55,12 @@
 
     /**
      * Suspects the replica of the current attempt if it has sent nothing for too long, unless its response is not read
-     * because the caller does not keep up. Once the replica counts as lost,
-     * retries the request at another target if the request may be repeated and there is such a target.
+     * because the caller does not keep up. Once the replica counts as lost, retries the request at another target if
+     * the request may be repeated and there is such a target. Returns when to check again, in milliseconds of the
+     * monotonic clock.
      */
-    fun checkReplica() {
-        val current = state.attempt?.takeIf { response.writable } ?: return
+    fun checkReplica(): Long {
+        val current = state.attempt?.takeIf { response.writable } ?: return Long.MAX_VALUE
         val key = current.target.key
         val liveness = context.failureDetector.liveness(key, current.lastProgressAtMs, current.hasEvents)
         if (liveness != Liveness.ALIVE && !context.health.isSuspect(key)) suspect(current)
@@ -70,6 +71,8 @@
             state.mayHaveExecuted = true
             if (!tryRetry("silent")) outcomes.endWithError("replica is silent and retry budget is used up")
         }
+        val changeAtMs = context.failureDetector.nextChangeAtMs(key, current.lastProgressAtMs, current.hasEvents)
+        return if (lost) context.clock.nowMs() + LOST_RECHECK_MS else changeAtMs
     }
 
     /** Dispatches the request again if the retry budget allows it; returns false otherwise. */
@@ -134,6 +137,9 @@
     }
 
     private companion object {
+        /** Time after which a request at a lost replica is tried again at another target, if it could not be before. */
+        const val LOST_RECHECK_MS = 40L
+
         /** Assumed time from sending a request with a short prompt to its first event. */
         const val FIRST_EVENT_DELAY_MS = 130L
     }
--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -47,6 +47,9 @@
         inFlight.queue.dispatchAll()
     }
 
+    /** A replica is known to be lost, so that its requests are to be retried elsewhere. */
+    fun onReplicaLost() = inFlight.onReplicaLost()
+
     /**
      * Ratio of the requests that all processes have in progress to the slots, by service and model; only for services
      * that are served by replicas.
--- a/gateway/src/main/kotlin/auburnhall/gateway/InFlightRequests.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/InFlightRequests.kt
@@ -1,15 +1,19 @@
 /*
- * The requests that a process queues until a slot is free, and those whose replicas it supervises. Their timer runs
- * only while there are any, so that an idle process sleeps.
+ * The requests that a process queues until a slot is free, and those whose replicas it supervises. Their timer is set
+ * to the time at which the next of them may need something, so that a process with few streams sleeps between events.
  */
 package auburnhall.gateway
 
+import auburnhall.core.ScheduledTask
+import auburnhall.routing.ReplicaFailureDetector
+
 /** Queued and supervised requests. Traffic thread only. */
 class InFlightRequests(
     private val context: GatewayContext,
 ) {
     private val supervised = LinkedHashSet<ForwardedRequest>()
-    private var timerRuns = false
+    private var timer: ScheduledTask? = null
+    private var timerAtMs = Long.MAX_VALUE
 
     /** Requests that wait for a free slot; add to it with [enqueue]. */
     val queue = AdmissionQueue(context.clock)
@@ -17,13 +21,13 @@
     /** Queues [request] until a slot is free. */
     fun enqueue(request: ForwardedRequest) {
         queue.add(request)
-        startTimer()
+        checkBy(context.clock.nowMs() + DISPATCH_PERIOD_MS)
     }
 
     /** Supervises the replica to which [request] was sent, until the attempt ends. */
     fun supervise(request: ForwardedRequest) {
         supervised.add(request)
-        startTimer()
+        checkBy(context.clock.nowMs() + MAX_CHECK_PERIOD_MS)
     }
 
     /** Schedules the dispatch of waiting requests, since the end of a request may have left a slot free. */
@@ -31,23 +35,35 @@
         if (queue.size > 0) context.scheduler.run { queue.dispatchAll() }
     }
 
-    private fun startTimer() {
-        if (timerRuns) return
-        timerRuns = true
-        context.scheduler.after(CHECK_PERIOD_MS, ::check)
+    /** Checks the replicas of supervised requests soon, since one of them is known to be lost. */
+    fun onReplicaLost() = checkBy(context.clock.nowMs())
+
+    private fun checkBy(atMs: Long) {
+        if (atMs >= timerAtMs) return
+        timer?.cancel()
+        timerAtMs = atMs
+        timer = context.scheduler.after((atMs - context.clock.nowMs()).coerceAtLeast(0), ::check)
     }
 
     /** Dispatches waiting requests and checks the replicas of supervised requests. */
     private fun check() {
-        timerRuns = false
+        timerAtMs = Long.MAX_VALUE
         queue.dispatchAll()
         supervised.removeIf { it.hasNoAttempt }
-        supervised.toList().forEach { it.checkReplica() }
-        if (queue.size > 0 || supervised.isNotEmpty()) startTimer()
+        val dueAtMs = supervised.toList().minOfOrNull { it.checkReplica() }
+        val now = context.clock.nowMs()
+        if (queue.size > 0) checkBy(now + DISPATCH_PERIOD_MS)
+        if (dueAtMs != null) checkBy(dueAtMs.coerceIn(now + MIN_CHECK_PERIOD_MS, now + MAX_CHECK_PERIOD_MS))
     }
 
     private companion object {
+        /** Time after which waiting requests are tried again: other processes may have left slots free. */
+        const val DISPATCH_PERIOD_MS = 40L
+
+        /** A replica that is silent from now on is suspected after this time at the earliest. */
+        const val MAX_CHECK_PERIOD_MS = ReplicaFailureDetector.EVENT_TIMEOUT_MS
+
         /** A small part of the shortest time after which a silent replica is suspected. */
-        const val CHECK_PERIOD_MS = 40L
+        const val MIN_CHECK_PERIOD_MS = 10L
     }
 }
--- a/routing/src/main/kotlin/auburnhall/routing/ReplicaFailureDetector.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/ReplicaFailureDetector.kt
@@ -36,16 +36,34 @@
         waitingSince: Long,
         started: Boolean,
     ): Liveness {
-        val silentSince = maxOf(waitingSince, lastActiveAtMs[key] ?: 0L)
-        val timeoutMs = if (started) EVENT_TIMEOUT_MS else FIRST_EVENT_TIMEOUT_MS
-        val silentMs = clock.nowMs() - silentSince
+        val now = clock.nowMs()
+        val suspectAtMs = suspectAtMs(key, waitingSince, started)
         return when {
-            silentMs >= timeoutMs + CONFIRMATION_TIMEOUT_MS -> Liveness.LOST
-            silentMs >= timeoutMs -> Liveness.SUSPECT
+            now >= suspectAtMs + CONFIRMATION_TIMEOUT_MS -> Liveness.LOST
+            now >= suspectAtMs -> Liveness.SUSPECT
             else -> Liveness.ALIVE
         }
     }
 
+    /** When the state of [key], which is not lost, changes if nothing is received from it; see [liveness]. */
+    fun nextChangeAtMs(
+        key: TargetKey,
+        waitingSince: Long,
+        started: Boolean,
+    ): Long {
+        val suspectAtMs = suspectAtMs(key, waitingSince, started)
+        return if (clock.nowMs() < suspectAtMs) suspectAtMs else suspectAtMs + CONFIRMATION_TIMEOUT_MS
+    }
+
+    private fun suspectAtMs(
+        key: TargetKey,
+        waitingSince: Long,
+        started: Boolean,
+    ): Long {
+        val silentSince = maxOf(waitingSince, lastActiveAtMs[key] ?: 0L)
+        return silentSince + if (started) EVENT_TIMEOUT_MS else FIRST_EVENT_TIMEOUT_MS
+    }
+
     /** Removes replicas that are not [present]. */
     fun retain(present: (TargetKey) -> Boolean) {
         lastActiveAtMs.keys.removeIf { !present(it) }
