Spread requests over what targets lack to a common level, not to the least loaded one

Most late requests were not retried; they waited at their replica. By the log, processes herd: 15 of them sent to one replica within 120 ms, 20 within 40 ms 2.4 s later, since it was the least loaded by the last total, and their prompts were read one after the other (first events after 108 to 1,924 ms). A quarter of the replicas had no late request at all. Ruled out: retries (a tenth of the late requests); slow members (late requests at nearly all replicas alike). Change: by load reports of a known age, requests that others send meanwhile are expected (in progress / mean duration * age); they are thought to fill the targets up to a common level, and the target is drawn in proportion to what it lacks to it. One process alone still takes the least loaded one.

--- a/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
@@ -28,6 +28,7 @@
 import auburnhall.routing.RetryBounds
 import auburnhall.routing.Router
 import auburnhall.routing.TargetHealth
+import auburnhall.routing.UnreportedRequests
 import io.netty.channel.EventLoop
 import kotlin.random.Random
 
@@ -46,6 +47,7 @@
     /** Runs tasks on the traffic thread. */
     val scheduler = EventLoopScheduler(loop)
     private val load = LoadTracker(clock)
+    private val unreported = UnreportedRequests { peerMessenger.processes }
     private val health = TargetHealth(clock)
     private val failureDetector = ReplicaFailureDetector(clock)
     private val client = HttpClient(loop, clock)
@@ -54,8 +56,9 @@
             GatewayRuntime(clock, scheduler, client),
             GatewayCodecs(PlatformCallerCodec, PlatformWorkerCodec),
             GatewayRouting(
-                Router(load, health, settings().dataCentre, random, client::hasIdleConnection),
+                Router(load, health, settings().dataCentre, random, unreported, client::hasIdleConnection),
                 load,
+                unreported,
                 health,
                 failureDetector,
                 AdmissionPolicy { random.nextDouble() },
--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -85,6 +85,7 @@
         private set
     private var call: OutboundCall? = null
     private var released = false
+    private val startedAtMs = context.clock.nowMs()
     private var unreadTokens = accepted.metadata.promptTokens
     private var responseHead: WorkerResponseHead? = null
     private var headers: HttpHeaders? = null
@@ -134,6 +135,7 @@
         if (released) return
         released = true
         context.load.end(target.key, unreadTokens)
+        context.unreported.onEnded(target.served, context.clock.nowMs() - startedAtMs)
     }
 
     override fun onHead(
--- a/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
@@ -18,6 +18,7 @@
 import auburnhall.routing.TargetHealth
 import auburnhall.routing.TargetKey
 import auburnhall.routing.TargetTable
+import auburnhall.routing.UnreportedRequests
 
 /** Called when a replica is suspected to have failed, so that the other processes can be notified. */
 fun interface SuspicionListener {
@@ -51,6 +52,7 @@
 class GatewayRouting(
     val router: Router,
     val load: LoadTracker,
+    val unreported: UnreportedRequests,
     val health: TargetHealth,
     val failureDetector: ReplicaFailureDetector,
     val admission: AdmissionPolicy,
@@ -88,6 +90,7 @@
     val client = runtime.client
     val router = routing.router
     val load = routing.load
+    val unreported = routing.unreported
     val health = routing.health
     val failureDetector = routing.failureDetector
     val admission = routing.admission
--- a/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
@@ -28,6 +28,7 @@
 import auburnhall.routing.Router
 import auburnhall.routing.TargetHealth
 import auburnhall.routing.TargetTable
+import auburnhall.routing.UnreportedRequests
 import auburnhall.test.RecordingListener
 import io.netty.handler.codec.http.HttpHeaders
 import org.junit.jupiter.api.AfterEach
@@ -41,6 +42,7 @@
     protected val scheduler = EventLoopScheduler(loop)
     protected val events = RecordingListener()
     protected val load = LoadTracker(Clock.SYSTEM)
+    private val unreported = UnreportedRequests { 1 }
     protected val health = TargetHealth(Clock.SYSTEM)
     protected val client = HttpClient(loop, Clock.SYSTEM)
     protected val context: GatewayContext =
@@ -48,8 +50,9 @@
             GatewayRuntime(Clock.SYSTEM, scheduler, client),
             GatewayCodecs(TestCallerCodec, TestWorkerCodec),
             GatewayRouting(
-                Router(load, health, "z", Random(1)) { true },
+                Router(load, health, "z", Random(1), unreported) { true },
                 load,
+                unreported,
                 health,
                 ReplicaFailureDetector(Clock.SYSTEM),
                 AdmissionPolicy { 0.0 },
--- a/routing/src/main/kotlin/auburnhall/routing/LoadTracker.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/LoadTracker.kt
@@ -38,6 +38,10 @@
     /** Called when the load of this process has changed. */
     var onOwnChange: () -> Unit = {}
 
+    /** Moving average of the load that a request is when it is sent, in the unit of [TargetLoad.weight]. */
+    var typicalWeight = 1.0
+        private set
+
     /** The load as totalled by the collector. */
     val aggregate = AggregateLoad(clock)
 
@@ -48,7 +52,11 @@
     fun begin(
         key: TargetKey,
         unreadTokens: Int,
-    ) = change(key, TargetLoad(1, unreadTokens))
+    ) {
+        val sent = TargetLoad(1, unreadTokens)
+        typicalWeight += (sent.weight - typicalWeight) * TYPICAL_WEIGHT_SHARE
+        change(key, sent)
+    }
 
     /** The target [key] has read the prompt of a request. */
     fun onPromptRead(
@@ -106,6 +114,9 @@
     internal companion object {
         /** Several times the interval at which processes repeat unchanged load reports. */
         const val REPORT_VALID_MS = 1_500L
+
+        /** Share of the latest request in [typicalWeight]. */
+        const val TYPICAL_WEIGHT_SHARE = 0.05
     }
 }
 
--- a/routing/src/main/kotlin/auburnhall/routing/Router.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Router.kt
@@ -1,6 +1,6 @@
 /*
- * Chooses the target of a request: the one with the least load per slot, avoiding those that fail. Designed for many
- * small processes that each see only a part of the requests.
+ * Chooses the target of a request: one with little load per slot, avoiding those that fail. Designed for many small
+ * processes that each see only a part of the requests.
  */
 package auburnhall.routing
 
@@ -40,6 +40,7 @@
     private val health: TargetHealth,
     private val dataCentre: String,
     private val random: Random,
+    private val unreported: UnreportedRequests,
     private val hasIdleConnection: (Address) -> Boolean,
 ) {
     /** Chooses among [targets], all of which can serve [requirements]. */
@@ -51,8 +52,8 @@
         val healthy = untried.filter { !health.isAvoided(it.key) }
         val pool = healthy.ifEmpty { untried.filter { !health.isSuspect(it.key) } }.ifEmpty { untried }
         val (slow, others) = pool.partition { it.key in health.slow }
-        val preferred = leastLoaded(others)
-        return if (preferred is Choice.Send || slow.isEmpty()) preferred else orSlow(preferred, leastLoaded(slow))
+        val preferred = spread(others)
+        return if (preferred is Choice.Send || slow.isEmpty()) preferred else orSlow(preferred, spread(slow))
     }
 
     /** Prefers a slow target with a free slot to queueing, and any slow target to none. */
@@ -61,25 +62,31 @@
         slow: Choice,
     ): Choice = if (preferred is Choice.None || slow is Choice.Send) slow else preferred
 
-    private fun leastLoaded(targets: List<Target>): Choice {
-        val best = targets.minByOrNull { score(it) } ?: return Choice.None
-        val total = load.total(best.key).requests
-        return if (total < best.slots) Choice.Send(best, total) else Choice.Full(best, total)
+    private fun spread(targets: List<Target>): Choice {
+        if (targets.isEmpty()) return Choice.None
+        val totals = targets.map { load.total(it.key) }
+        val slots = IntArray(targets.size) { targets[it].slots }
+        val free = targets.indices.filter { totals[it].requests < slots[it] }.toIntArray()
+        val level = FillLevel(DoubleArray(targets.size) { totals[it].weight + penalty(targets[it]) }, slots)
+        if (free.isEmpty()) {
+            val least = level.choose(targets.indices.toList().toIntArray(), 0.0, random)
+            return Choice.Full(targets[least], totals[least].requests)
+        }
+        val arriving = unreported.expected(targets.first().served, totals.sumOf { it.requests })
+        val chosen = level.choose(free, arriving * load.typicalWeight, random)
+        return Choice.Send(targets[chosen], totals[chosen].requests)
     }
 
-    private fun score(target: Target): Double {
+    private fun penalty(target: Target): Double {
         val distance = if (target.worker.dataCentre == dataCentre) 0.0 else OTHER_DATA_CENTRE_PENALTY
         val connection = if (hasIdleConnection(target.worker.address)) 0.0 else NEW_CONNECTION_PENALTY
-        return (load.total(target.key).weight + distance + connection + random.nextDouble() * TIE_BREAK) / target.slots
+        return distance + connection
     }
 
     private companion object {
         /** Requests by which a target in another data centre must be less loaded than a local one to be preferred. */
         const val OTHER_DATA_CENTRE_PENALTY = 0.5
 
-        /** Random load, in requests, that keeps processes from all choosing the same one of equal targets. */
-        const val TIE_BREAK = 0.9
-
         /** Requests by which a target that needs a new connection must be less loaded to be preferred. */
         const val NEW_CONNECTION_PENALTY = 0.7
     }
--- a/routing/src/main/kotlin/auburnhall/routing/Targets.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Targets.kt
@@ -26,7 +26,10 @@
     val slots: Int,
     /** The model that it serves; null for a plain service. */
     val model: String?,
-)
+) {
+    /** What it serves: the model, or the plain service. */
+    val served: String get() = model ?: worker.service
+}
 
 /** The targets of every service, computed once for a state of the fleet and a configuration. */
 class TargetTable(
--- a/routing/src/test/kotlin/auburnhall/routing/RouterTest.kt
+++ b/routing/src/test/kotlin/auburnhall/routing/RouterTest.kt
@@ -10,7 +10,7 @@
     private val time = FakeScheduler()
     private val load = LoadTracker(time)
     private val health = TargetHealth(time)
-    private val router = Router(load, health, "a", Random(1)) { true }
+    private val router = Router(load, health, "a", Random(1), UnreportedRequests { 1 }) { true }
     private val targets = listOf(target("x"), target("y"), target("z"))
 
     private fun chosen(tried: Set<TargetKey> = emptySet()): String =
