Prefer near and connected targets among those with room

Workers close idle connections after little more than a second, so a process has idle ones to about five of 109 heads, and the penalties of 0.7 and 0.5 requests for others hardly count once requests are spread over what targets lack. Change: of targets with room, one in the own data centre is drawn 10 times as often, one with an idle connection 100 times; a target above the common level is still not chosen at all. SpreadingTest: over half of the requests use an idle connection, bursts as before.

--- a/routing/src/main/kotlin/auburnhall/routing/FillLevel.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/FillLevel.kt
@@ -9,10 +9,14 @@
 
 import kotlin.random.Random
 
-/** Targets by index: [loads] in requests, [slots] as many as each can have in progress. */
+/**
+ * Targets by index: [loads] in requests, [slots] as many as each can have in progress. Of targets that lack the same,
+ * one with twice the [preference] is chosen twice as often.
+ */
 internal class FillLevel(
     private val loads: DoubleArray,
     private val slots: IntArray,
+    private val preference: DoubleArray = DoubleArray(loads.size) { 1.0 },
 ) {
     /** Chooses among [candidates] while the others send [arriving] requests; [candidates] must not be empty. */
     fun choose(
@@ -21,9 +25,9 @@
         random: Random,
     ): Int {
         val level = level(candidates, arriving + TIE_BREAK)
-        var remaining = random.nextDouble() * candidates.sumOf { room(it, level) }
+        var remaining = random.nextDouble() * candidates.sumOf { room(it, level) * preference[it] }
         for (index in candidates) {
-            remaining -= room(index, level)
+            remaining -= room(index, level) * preference[index]
             if (remaining < 0) return index
         }
         return candidates.minBy { loads[it] / slots[it] }
--- a/routing/src/main/kotlin/auburnhall/routing/Router.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Router.kt
@@ -67,7 +67,8 @@
         val totals = targets.map { load.total(it.key) }
         val slots = IntArray(targets.size) { targets[it].slots }
         val free = targets.indices.filter { totals[it].requests < slots[it] }.toIntArray()
-        val level = FillLevel(DoubleArray(targets.size) { totals[it].weight + penalty(targets[it]) }, slots)
+        val loads = DoubleArray(targets.size) { totals[it].weight + penalty(targets[it]) }
+        val level = FillLevel(loads, slots, DoubleArray(targets.size) { preference(targets[it]) })
         if (free.isEmpty()) {
             val least = level.choose(targets.indices.toList().toIntArray(), 0.0, random)
             return Choice.Full(targets[least], totals[least].requests)
@@ -83,7 +84,18 @@
         return distance + connection
     }
 
+    private fun preference(target: Target): Double {
+        val near = if (target.worker.dataCentre == dataCentre) LOCAL_PREFERENCE else 1.0
+        return if (hasIdleConnection(target.worker.address)) near * CONNECTED_PREFERENCE else near
+    }
+
     private companion object {
+        /** Of targets with room, one of the own data centre is chosen this much more often than another one. */
+        const val LOCAL_PREFERENCE = 10.0
+
+        /** As above for a target with an idle connection; a process has few of them at a time. */
+        const val CONNECTED_PREFERENCE = 100.0
+
         /** Requests by which a target in another data centre must be less loaded than a local one to be preferred. */
         const val OTHER_DATA_CENTRE_PENALTY = 0.5
 
--- a/routing/src/test/kotlin/auburnhall/routing/Samples.kt
+++ b/routing/src/test/kotlin/auburnhall/routing/Samples.kt
@@ -12,10 +12,11 @@
 internal fun worker(
     id: String,
     dataCentre: String = "a",
+    host: String = "10.0.0.1",
 ) = Worker(
     id,
     "s",
-    Address("10.0.0.1", 80),
+    Address(host, 80),
     dataCentre,
     18,
     false,
@@ -30,8 +31,9 @@
     id: String,
     slots: Int = 18,
     dataCentre: String = "a",
+    host: String = "10.0.0.1",
 ): Target {
-    val head = worker(id, dataCentre)
+    val head = worker(id, dataCentre, host)
     val replica = Replica("m/$id", 1, "m", listOf(head))
     return Target(TargetTable.keyOf(replica), head, replica, slots, "m")
 }
--- a/routing/src/test/kotlin/auburnhall/routing/SpreadingTest.kt
+++ b/routing/src/test/kotlin/auburnhall/routing/SpreadingTest.kt
@@ -1,5 +1,6 @@
 package auburnhall.routing
 
+import auburnhall.core.Address
 import auburnhall.test.FakeScheduler
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -9,24 +10,31 @@
 /** 95 processes send 670 requests a second to 109 replicas and learn of each other's loads every 150 ms. */
 class SpreadingTest {
     private val time = FakeScheduler()
-    private val targets = List(TARGETS) { target("r$it", slots = 13) }
+    private val targets = List(TARGETS) { target("r$it", slots = 13, host = "10.0.0.$it") }
     private val random = Random(SEED)
     private val processes = List(PROCESSES) { Process() }
     private val sentAtMs = HashMap<TargetKey, ArrayList<Long>>()
+    private var reused = 0
 
     private inner class Process {
         val load = LoadTracker(time)
         private val unreported = UnreportedRequests { PROCESSES }
-        private val router = Router(load, TargetHealth(time), "a", random, unreported) { true }
+        private val idleUntilMs = HashMap<Address, Long>()
+        private val router = Router(load, TargetHealth(time), "a", random, unreported, ::hasIdleConnection)
+
+        private fun hasIdleConnection(peer: Address) = (idleUntilMs[peer] ?: 0) > time.nowMs()
 
         fun send() {
             val target = (router.choose(TargetRequirements("s", "m"), targets) as Choice.Send).target
+            if (hasIdleConnection(target.worker.address)) reused++
+            idleUntilMs.remove(target.worker.address)
             load.begin(target.key, PROMPT_TOKENS)
             sentAtMs.getOrPut(target.key) { ArrayList() }.add(time.nowMs())
             time.after(READ_MS) { load.onPromptRead(target.key, PROMPT_TOKENS) }
             time.after(DURATION_MS) {
                 load.end(target.key, 0)
                 unreported.onEnded("m", DURATION_MS)
+                idleUntilMs[target.worker.address] = time.nowMs() + IDLE_TIMEOUT_MS
             }
         }
     }
@@ -65,6 +73,7 @@
         val p95 = bursts[bursts.size * 95 / 100]
         assertTrue(p95 <= 4, "one request in twenty shares its first 100 ms at its target with ${p95 - 1} others")
         assertTrue(bursts.last() <= 12, "${bursts.last()} requests to one target within 100 ms")
+        assertTrue(reused * 2 > bursts.size, "$reused of ${bursts.size} requests used an idle connection")
     }
 
     @Test
@@ -94,5 +103,6 @@
         const val READ_MS = 100L
         const val DURATION_MS = 1_200L
         const val REPORT_PERIOD_MS = 150L
+        const val IDLE_TIMEOUT_MS = 700L
     }
 }
