Let children of a cut-off controller ask the store first, and theirs keep their parents

Change: the maximum age of relayed state is lower nearer to the controller (850 ms at the first of two levels, 1,200 ms at the last); the children of the controller change over first, are answered at once, and have recent state before that of their own children is too old. A process stays with the store for 1 s then. The router's choice is split for the linter, nothing else.

--- a/entry/src/main/kotlin/auburnhall/entry/RelaySelector.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelaySelector.kt
@@ -27,10 +27,29 @@
     private val store = StoreChangeSource(context.store)
     private val pausedUntilMs = HashMap<String, Long>()
     private var current: String? = null
+    private var storeUntilMs = 0L
+
+    /**
+     * Maximum age, in milliseconds, of relayed state at this process, after which it asks the store. It is lower nearer
+     * to the controller: when the controller loses the store, the processes below it change over first, and those that
+     * take changes from them need not.
+     */
+    val maxAgeMs: Long
+        get() {
+            val controller = peers.controller ?: return RelayServer.MAX_AGE_MS
+            val levels = RelayTree.levels(peers.processes.size + 1)
+            val level = RelayTree.level(context.settings.processName, controller, peers.processes.keys)
+            return RelayServer.MAX_AGE_MS - (levels - level) * (AGE_DIFFERENCE_SUM_MS / levels)
+        }
+
+    /** Whether the store is asked since relayed state of age [ageMs] is too old; it then is to respond at once. */
+    fun isTooOld(ageMs: Long?): Boolean = ageMs != null && ageMs > maxAgeMs
 
     /** The source of the next watch; [ageMs] is the age of this process's state, null before the first load. */
     fun next(ageMs: Long?): ChangeSource {
-        val name = if (ageMs == null || ageMs > RelayServer.MAX_AGE_MS) null else selectParent()
+        val now = context.clock.nowMs()
+        if (isTooOld(ageMs)) storeUntilMs = now + STORE_STAY_MS
+        val name = if (ageMs == null || now < storeUntilMs) null else selectParent()
         if (name != current) context.events.log("relay.chosen", "source" to (name ?: "store"), "before" to current)
         current = name
         val host = name?.let { peers.processes[it]?.host } ?: return store
@@ -60,5 +79,11 @@
     private companion object {
         /** Time for which a source is not selected after a failure. */
         const val PAUSE_MS = 3_000L
+
+        /** Time for which the store is asked after relayed state was too old, since other parents may fail as well. */
+        const val STORE_STAY_MS = 1_000L
+
+        /** Sum of the differences in maximum age between the levels; leaves each level the waits of those above it. */
+        const val AGE_DIFFERENCE_SUM_MS = 700L
     }
 }
--- a/entry/src/main/kotlin/auburnhall/entry/RelayTree.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelayTree.kt
@@ -23,6 +23,13 @@
         return levels
     }
 
+    /** Level of [self] below [controller], 1 for its children; the arguments are those of [parents]. */
+    fun level(
+        self: String,
+        controller: String,
+        processes: Collection<String>,
+    ): Int = if (self == controller) 0 else levels(1 + others(self, controller, processes).indexOf(self) + 1)
+
     /**
      * The processes from which [self] may take changes, in order of preference; none for [controller] itself.
      * [processes] are all known processes, with or without [self].
@@ -32,7 +39,7 @@
         controller: String,
         processes: Collection<String>,
     ): List<String> {
-        val others = (processes.toSet() + self - controller).sorted()
+        val others = others(self, controller, processes)
         val index = others.indexOf(self)
         return when {
             index < 0 -> emptyList()
@@ -41,6 +48,12 @@
         }
     }
 
+    private fun others(
+        self: String,
+        controller: String,
+        processes: Collection<String>,
+    ) = (processes.toSet() + self - controller).sorted()
+
     private fun parentLevel(
         others: List<String>,
         index: Int,
--- a/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
@@ -81,9 +81,10 @@
     /** Switches to another source, usually the store, when the state relayed by another process is too old. */
     fun checkAge() {
         val peer = source?.peer ?: return
+        val selector = relaySelector ?: return
         val age = ageMs ?: 0
-        if (age > RelayServer.MAX_AGE_MS) {
-            relaySelector?.onFailed(peer, "relayed state is too old: $age ms")
+        if (age > selector.maxAgeMs) {
+            selector.onFailed(peer, "relayed state is too old: $age ms")
             watch()
         }
     }
@@ -135,6 +136,7 @@
         when {
             from.peer != null -> timing.relayWaitMs
             disconnected -> RECOVERY_WATCH_WAIT_MS
+            relaySelector?.isTooOld(ageMs) == true -> 0
             else -> timing.waitMs
         }
 
--- a/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
@@ -1,6 +1,7 @@
 package auburnhall.entry
 
 import auburnhall.core.Address
+import auburnhall.core.KeyValueStore
 import auburnhall.core.OperatorLimits
 import auburnhall.core.Settings
 import auburnhall.core.StoreCallback
@@ -40,7 +41,8 @@
         val keys = HashMap<String, String>()
         var frozen = false
         private val settings = settings(name)
-        private val context = ControlContext(settings, store, time, time, Random(1), events)
+        private val ownStore = CutStore()
+        private val context = ControlContext(settings, ownStore, time, time, Random(1), events)
         val mirror: StoreMirror = StoreMirror(context, this, this)
         val server = RelayServer(time, time, mirror)
         override var controller: String? = "n00"
@@ -50,6 +52,9 @@
         override val waitMs: Long get() = if (server.hasClients) 200L else 3_000L
         override val relayWaitMs: Long get() = 600L / RelayTree.levels(processes.size + 1)
 
+        /** Whether the store does not answer this process. */
+        var cutFromStore by ownStore::cut
+
         fun start() {
             mirror.relaySelector = RelaySelector(context, this, 2) { peer, _ -> InProcessSource(peer) }
             mirror.start()
@@ -113,6 +118,18 @@
         }
     }
 
+    /** The store as one process sees it. */
+    private inner class CutStore : KeyValueStore by store {
+        var cut = false
+
+        override fun watch(
+            prefix: String,
+            revision: Long,
+            waitMs: Long,
+            done: StoreCallback<StoreChanges>,
+        ) = store.watch(prefix, revision, waitMs) { if (!cut) done(it) }
+    }
+
     private class RecordingResponse(
         private val onSent: (Int, ByteArray) -> Unit,
     ) : ResponseWriter {
@@ -194,6 +211,19 @@
         assertEquals(emptyList<String>(), behind)
     }
 
+    @Test
+    fun `when the controller is cut from the store, only its children ask the store`() {
+        startProcesses(40)
+        events.events.clear()
+        simulated.getValue("n00").cutFromStore = true
+        repeat(30) {
+            time.advance(100)
+            assertTrue(simulated.values.filter { it.name != "n00" }.all { (it.mirror.ageMs ?: 0) <= 1_200 })
+        }
+        val toStore = events.events.count { it.name == "relay.chosen" && ("source" to "store") in it.details }
+        assertEquals(RelayTree.FAN_OUT, toStore)
+    }
+
     @Test
     fun `a process without a connection to the store does not relay state that is too old`() {
         startProcesses(3)
--- a/routing/src/main/kotlin/auburnhall/routing/Router.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Router.kt
@@ -66,16 +66,17 @@
         if (targets.isEmpty()) return Choice.None
         val totals = targets.map { load.total(it.key) }
         val slots = IntArray(targets.size) { targets[it].slots }
-        val free = targets.indices.filter { totals[it].requests < slots[it] }.toIntArray()
         val loads = DoubleArray(targets.size) { totals[it].weight + penalty(targets[it]) }
         val level = FillLevel(loads, slots, DoubleArray(targets.size) { preference(targets[it]) })
-        if (free.isEmpty()) {
+        val free = targets.indices.filter { totals[it].requests < slots[it] }
+        return if (free.isEmpty()) {
             val least = level.choose(targets.indices.toList().toIntArray(), 0.0, random)
-            return Choice.Full(targets[least], totals[least].requests)
+            Choice.Full(targets[least], totals[least].requests)
+        } else {
+            val arriving = unreported.expected(targets.first().served, totals.sumOf { it.requests })
+            val chosen = level.choose(free.toIntArray(), arriving * load.typicalWeight, random)
+            Choice.Send(targets[chosen], totals[chosen].requests)
         }
-        val arriving = unreported.expected(targets.first().served, totals.sumOf { it.requests })
-        val chosen = level.choose(free, arriving * load.typicalWeight, random)
-        return Choice.Send(targets[chosen], totals[chosen].requests)
     }
 
     private fun penalty(target: Target): Double {
