--- a/routing/src/main/kotlin/auburnhall/routing/Router.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Router.kt
@@ -66,8 +66,9 @@
         if (targets.isEmpty()) return Choice.None
         val totals = targets.map { load.total(it.key) }
         val slots = IntArray(targets.size) { targets[it].slots }
-        val loads = DoubleArray(targets.size) { totals[it].weight + penalty(targets[it]) }
-        val level = FillLevel(loads, slots, DoubleArray(targets.size) { preference(targets[it]) })
+        val connected = BooleanArray(targets.size) { hasIdleConnection(targets[it].worker.address) }
+        val loads = DoubleArray(targets.size) { totals[it].weight + penalty(targets[it], connected[it]) }
+        val level = FillLevel(loads, slots, DoubleArray(targets.size) { preference(targets[it], connected[it]) })
         val free = targets.indices.filter { totals[it].requests < slots[it] }
         return if (free.isEmpty()) {
             val least = level.choose(targets.indices.toList().toIntArray(), 0.0, random)
@@ -79,15 +80,20 @@
         }
     }
 
-    private fun penalty(target: Target): Double {
+    private fun penalty(
+        target: Target,
+        connected: Boolean,
+    ): Double {
         val distance = if (target.worker.dataCentre == dataCentre) 0.0 else OTHER_DATA_CENTRE_PENALTY
-        val connection = if (hasIdleConnection(target.worker.address)) 0.0 else NEW_CONNECTION_PENALTY
-        return distance + connection
+        return if (connected) distance else distance + NEW_CONNECTION_PENALTY
     }
 
-    private fun preference(target: Target): Double {
+    private fun preference(
+        target: Target,
+        connected: Boolean,
+    ): Double {
         val near = if (target.worker.dataCentre == dataCentre) LOCAL_PREFERENCE else 1.0
-        return if (hasIdleConnection(target.worker.address)) near * CONNECTED_PREFERENCE else near
+        return if (connected) near * CONNECTED_PREFERENCE else near
     }
 
     private companion object {
--- a/routing/src/test/kotlin/auburnhall/routing/DecisionsTest.kt
+++ b/routing/src/test/kotlin/auburnhall/routing/DecisionsTest.kt
@@ -63,6 +63,20 @@
         assertEquals(Liveness.ALIVE, detector.liveness(key, waitingSince = 600, started = true))
     }
 
+    @Test
+    fun `the detector says when the state of a silent replica changes next`() {
+        val detector = ReplicaFailureDetector(time)
+        time.advance(1_000)
+        for (silentSince in listOf(720L, 650L)) {
+            val changeAtMs = detector.nextChangeAtMs(key, silentSince, started = true)
+            val before = detector.liveness(key, silentSince, started = true)
+            time.advance(changeAtMs - time.nowMs() - 1)
+            assertEquals(before, detector.liveness(key, silentSince, started = true))
+            time.advance(1)
+            assertTrue(before != detector.liveness(key, silentSince, started = true))
+        }
+    }
+
     @Test
     fun `the timeout is longer before the first event of a stream`() {
         val detector = ReplicaFailureDetector(time)
