Keep the parents of the relay tree while there is no controller

In the test, 39 of 40 processes went to the store; it failed first. Change: the last known controller stays the root until another one is known; what is too old is still asked of the store.

--- a/entry/src/main/kotlin/auburnhall/entry/RelaySelector.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelaySelector.kt
@@ -28,6 +28,7 @@
     private val pausedUntilMs = HashMap<String, Long>()
     private var current: String? = null
     private var storeUntilMs = 0L
+    private var lastController: String? = null
 
     /**
      * Maximum age, in milliseconds, of relayed state at this process, after which it asks the store. It is lower nearer
@@ -36,7 +37,7 @@
      */
     val maxAgeMs: Long
         get() {
-            val controller = peers.controller ?: return RelayServer.MAX_AGE_MS
+            val controller = root() ?: return RelayServer.MAX_AGE_MS
             val levels = RelayTree.levels(peers.processes.size + 1)
             val level = RelayTree.level(context.settings.processName, controller, peers.processes.keys)
             return RelayServer.MAX_AGE_MS - (levels - level) * (AGE_DIFFERENCE_SUM_MS / levels)
@@ -65,10 +66,16 @@
         pausedUntilMs[source] = context.clock.nowMs() + PAUSE_MS
     }
 
+    /** The controller or, while there is none, the last one, so that not all processes ask the store meanwhile. */
+    private fun root(): String? {
+        lastController = peers.controller ?: lastController
+        return lastController
+    }
+
     private fun selectParent(): String? {
         val self = context.settings.processName
         val relayed = peers.processes.size + 1 >= minProcesses
-        val controller = peers.controller?.takeIf { relayed && it != self } ?: return null
+        val controller = root()?.takeIf { relayed && it != self } ?: return null
         val now = context.clock.nowMs()
         pausedUntilMs.values.removeIf { it <= now }
         return RelayTree
--- a/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
@@ -224,6 +224,18 @@
         assertEquals(RelayTree.FAN_OUT, toStore)
     }
 
+    @Test
+    fun `while there is no controller, processes keep taking changes from each other`() {
+        startProcesses(40)
+        events.events.clear()
+        simulated.values.forEach { it.controller = null }
+        time.advance(1_000)
+        store.put("op/config", "v2")
+        time.advance(100)
+        assertTrue(simulated.values.all { it.keys["op/config"] == "v2" })
+        assertEquals(0, events.names.count { it == "relay.chosen" })
+    }
+
     @Test
     fun `a process without a connection to the store does not relay state that is too old`() {
         startProcesses(3)
--- a/routing/src/main/kotlin/auburnhall/routing/UnreportedRequests.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/UnreportedRequests.kt
@@ -10,22 +10,22 @@
 ) {
     private val meanDurationMs = HashMap<String, Double>()
 
-    /** A request was at a target that serves [service], a model or a plain service, for [durationMs] milliseconds. */
+    /** A request was at a target of [served], a model or a plain service, for [durationMs] milliseconds. */
     fun onEnded(
-        service: String,
+        served: String,
         durationMs: Long,
     ) {
-        val mean = meanDurationMs[service]
-        meanDurationMs[service] = if (mean == null) durationMs.toDouble() else mean + (durationMs - mean) * WEIGHT
+        val mean = meanDurationMs[served]
+        meanDurationMs[served] = if (mean == null) durationMs.toDouble() else mean + (durationMs - mean) * WEIGHT
     }
 
-    /** Expected number, where [inProgress] requests are known to be at all targets of [service]. */
+    /** Expected number, where [inProgress] requests are known to be at all targets of [served]. */
     fun expected(
-        service: String,
+        served: String,
         inProgress: Int,
     ): Double {
         val count = processes()
-        val sentPerMs = inProgress / (meanDurationMs[service] ?: DEFAULT_DURATION_MS).coerceAtLeast(1.0)
+        val sentPerMs = inProgress / (meanDurationMs[served] ?: DEFAULT_DURATION_MS).coerceAtLeast(1.0)
         val ageMs = if (count < FEW_PROCESSES) FEW_PROCESSES_AGE_MS else AGE_MS
         return sentPerMs * ageMs * (count - 1) / count
     }
