--- a/routing/src/main/kotlin/auburnhall/routing/LoadCollector.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/LoadCollector.kt
@@ -6,9 +6,6 @@
 
 import auburnhall.core.Clock
 
-/** Load by the hash of the target's key. */
-typealias LoadsByHash = Map<Int, TargetLoad>
-
 /** Keeps the load reports and totals that are still valid. Traffic thread only. */
 class LoadCollector(
     private val clock: Clock,
@@ -24,7 +21,7 @@
         name: String,
         loads: LoadsByHash,
     ) {
-        reportsByProcess[name] = ReceivedLoad(loads, clock.nowMs() + REPORT_VALID_MS)
+        reportsByProcess[name] = ReceivedLoad(loads, clock.nowMs())
     }
 
     /** The collector of [dataCentre], not the one of this process, reported the total [loads]. */
@@ -32,7 +29,7 @@
         dataCentre: String,
         loads: LoadsByHash,
     ) {
-        totalsByDataCentre[dataCentre] = ReceivedLoad(loads, clock.nowMs() + REPORT_VALID_MS)
+        totalsByDataCentre[dataCentre] = ReceivedLoad(loads, clock.nowMs())
     }
 
     /** The total of the load reports received and of [own], the load of this process. */
@@ -43,19 +40,11 @@
 
     private fun valid(received: HashMap<String, ReceivedLoad>): List<LoadsByHash> {
         val now = clock.nowMs()
-        received.values.removeIf { it.validUntilMs <= now }
+        received.values.removeIf { !it.isValid(now) }
         return received.values.map { it.loads }
     }
 
-    private class ReceivedLoad(
-        val loads: LoadsByHash,
-        val validUntilMs: Long,
-    )
-
     private companion object {
-        /** Several times the interval at which processes repeat unchanged load reports. */
-        const val REPORT_VALID_MS = 1_500L
-
         fun add(loads: List<LoadsByHash>): LoadsByHash {
             val sum = HashMap<Int, TargetLoad>()
             loads.forEach { byHash -> byHash.forEach { (hash, load) -> sum.merge(hash, load, TargetLoad::plus) } }
--- a/routing/src/main/kotlin/auburnhall/routing/LoadTracker.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/LoadTracker.kt
@@ -75,7 +75,7 @@
         peer: String,
         loads: LoadsByHash,
     ) {
-        reportsByPeer[peer] = ReceivedLoad(loads, clock.nowMs() + REPORT_VALID_MS)
+        reportsByPeer[peer] = ReceivedLoad(loads, clock.nowMs())
     }
 
     /** Load of [key], over all processes with a recent report. */
@@ -92,7 +92,7 @@
     ): TargetLoad {
         var others = TargetLoad.NONE
         for (report in reportsByPeer.values) {
-            if (report.validUntilMs > now) report.loads[hash]?.let { others += it }
+            if (report.isValid(now)) report.loads[hash]?.let { others += it }
         }
         return others
     }
@@ -106,15 +106,7 @@
         onOwnChange()
     }
 
-    internal class ReceivedLoad(
-        val loads: LoadsByHash,
-        val validUntilMs: Long,
-    )
-
-    internal companion object {
-        /** Several times the interval at which processes repeat unchanged load reports. */
-        const val REPORT_VALID_MS = 1_500L
-
+    private companion object {
         /** Share of the latest request in [typicalWeight]. */
         const val TYPICAL_WEIGHT_SHARE = 0.05
     }
@@ -124,7 +116,7 @@
 class AggregateLoad(
     private val clock: Clock,
 ) {
-    private var total = LoadTracker.ReceivedLoad(emptyMap(), Long.MIN_VALUE)
+    private var total: ReceivedLoad? = null
     private var lastReported: LoadsByHash = emptyMap()
 
     /** This process reported the load [loads] to the collector, which includes it in the next totals. */
@@ -134,7 +126,7 @@
 
     /** The collector reported [loads] as the total of all processes, this one as it last reported. */
     fun onTotal(loads: LoadsByHash) {
-        total = LoadTracker.ReceivedLoad(loads, clock.nowMs() + LoadTracker.REPORT_VALID_MS)
+        total = ReceivedLoad(loads, clock.nowMs())
     }
 
     /** Load that the other processes put on the target with the key hash [hash]; null without a recent total. */
@@ -142,8 +134,8 @@
         hash: Int,
         now: Long,
     ): TargetLoad? {
-        if (total.validUntilMs <= now) return null
-        val all = total.loads[hash] ?: TargetLoad.NONE
+        val valid = total?.takeIf { it.isValid(now) } ?: return null
+        val all = valid.loads[hash] ?: TargetLoad.NONE
         val ours = lastReported[hash] ?: TargetLoad.NONE
         return TargetLoad(
             (all.requests - ours.requests).coerceAtLeast(0),
