Do not keep the memory of a long event

Seen while reading the change again: after an event of 1 MiB its stream kept an array of up to twice that until its end, which the limits on held bytes do not count; 50 such streams are more than the heap. It was so before, too, with the former buffer. Above 16 KiB the array is given up once the event is complete. Test in EventSplitterTest; it was not run against the former code, which had no way to tell the capacity.

--- a/gateway/src/main/kotlin/auburnhall/gateway/EventSplitter.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/EventSplitter.kt
@@ -20,6 +20,9 @@
     var pendingBytes = 0
         private set
 
+    /** Bytes of memory that are held for bytes to come. */
+    internal val capacityBytes: Int get() = buffer.size
+
     /** Bytes received after the last complete event. */
     val remainder: ByteArray get() = buffer.copyOf(pendingBytes)
 
@@ -57,10 +60,14 @@
     private fun discard(bytes: Int) {
         buffer.copyInto(buffer, 0, bytes, pendingBytes)
         pendingBytes -= bytes
+        if (buffer.size > MAX_IDLE_BYTES && pendingBytes <= MAX_IDLE_BYTES) buffer = buffer.copyOf(MAX_IDLE_BYTES)
     }
 
     private companion object {
         const val INITIAL_BYTES = 256
+
+        /** Memory that is kept after a long event, which the limits on held bytes do not count. */
+        const val MAX_IDLE_BYTES = 16_384
         const val LINE_FEED = '\n'.code.toByte()
         const val CARRIAGE_RETURN = '\r'.code.toByte()
         val ID_FIELD = "id:".toByteArray()
@@ -70,9 +77,7 @@
         /** The value of the first line that starts with [ID_FIELD]; null when it is not a number. */
         fun idOf(event: ByteArray): Long? {
             var lineStart = 0
-            while (lineStart < event.size &&
-                !startsWithId(event, lineStart)
-            ) {
+            while (lineStart < event.size && !startsWithId(event, lineStart)) {
                 lineStart = endOfLine(event, lineStart) + 1
             }
             if (lineStart >= event.size) return null
--- a/gateway/src/test/kotlin/auburnhall/gateway/EventSplitterTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/EventSplitterTest.kt
@@ -2,6 +2,7 @@
 
 import org.junit.jupiter.api.Assertions.assertArrayEquals
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
 import kotlin.random.Random
 
@@ -59,6 +60,16 @@
         assertArrayEquals(event.copyOf(5_000), splitter.remainder)
     }
 
+    @Test
+    fun `the memory of a long event is not kept`() {
+        val splitter = EventSplitter()
+        val event = "id: 1\ndata: ${"x".repeat(1_000_000)}\n\n".toByteArray()
+        splitter.add(event.copyOf(900_000))
+        assertEquals(1, splitter.add(event.copyOfRange(900_000, event.size) + "id".toByteArray()).size)
+        assertEquals("id", String(splitter.remainder))
+        assertTrue(splitter.capacityBytes <= 16_384, "${splitter.capacityBytes} bytes")
+    }
+
     @Test
     fun `an incomplete event is not returned`() {
         val splitter = EventSplitter()
