Explain the choice among free targets and the age limit at the controller

Read from Gateway to a worker's answer and from a lost member to a replica: the choice among free targets had no comment, and what the age limit means at the controller, which has no parent, could not be seen.

--- a/entry/src/main/kotlin/auburnhall/entry/RelaySelector.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelaySelector.kt
@@ -33,7 +33,7 @@
     /**
      * Maximum age, in milliseconds, of relayed state at this process, after which it asks the store. It is lower nearer
      * to the controller: when the controller loses the store, the processes below it change over first, and those that
-     * take changes from them need not.
+     * take changes from them need not. At the controller itself it only shortens the first watch after a stall.
      */
     val maxAgeMs: Long
         get() {
--- a/routing/src/main/kotlin/auburnhall/routing/Router.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Router.kt
@@ -62,6 +62,7 @@
         slow: Choice,
     ): Choice = if (preferred is Choice.None || slow is Choice.Send) slow else preferred
 
+    /** Chooses among the [targets] with a free slot so that the requests of all processes spread over them. */
     private fun spread(targets: List<Target>): Choice {
         if (targets.isEmpty()) return Choice.None
         val totals = targets.map { load.total(it.key) }
