--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -76,10 +76,16 @@
     var lastProgressAtMs = context.clock.nowMs()
         private set
 
-    /** Whether an event was received. */
-    var hasEvents = false
+    /** Number of events that were received. */
+    var eventCount = 0
         private set
 
+    /** Whether an event was received. */
+    val hasEvents: Boolean get() = eventCount > 0
+
+    /** Time, in milliseconds, since the attempt began. */
+    val ageMs: Long get() = context.clock.nowMs() - startedAtMs
+
     /** Whether any byte may have reached the worker. */
     var sent = true
         private set
@@ -135,7 +141,7 @@
         if (released) return
         released = true
         context.load.end(target.key, unreadTokens)
-        context.unreported.onEnded(target.served, context.clock.nowMs() - startedAtMs)
+        context.unreported.onEnded(target.served, ageMs)
     }
 
     override fun onHead(
@@ -173,15 +179,14 @@
     private fun relay(bytes: ByteArray) {
         val completeEvents = events.add(bytes)
         if (completeEvents.isEmpty()) return
-        onFirstEvent()
+        if (!hasEvents) onFirstEvent()
+        eventCount += completeEvents.size
         lastProgressAtMs = context.clock.nowMs()
         context.failureDetector.onActivity(target.key)
         completeEvents.forEach { listener.onEvent(this, it) }
     }
 
     private fun onFirstEvent() {
-        if (hasEvents) return
-        hasEvents = true
         if (!released) context.load.onPromptRead(target.key, unreadTokens)
         unreadTokens = 0
     }
--- a/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
@@ -5,7 +5,8 @@
  */
 package auburnhall.gateway
 
-import auburnhall.core.Event
+import auburnhall.core.EventListener
+import auburnhall.core.logRequest
 import auburnhall.http.CallFailure
 import auburnhall.http.CallStep
 import auburnhall.routing.Admission
@@ -90,9 +91,7 @@
         if (attempt !== state.attempt) return
         state.detach(attempt)
         context.health.onFailure(attempt.target.key)
-        val target = "target" to attempt.target.key.text
-        val details = listOf(target, "step" to failure.step, "peer" to failure.peer, "cause" to failure.cause)
-        context.listener.onEvent(Event("attempt.failed", state.accepted.id, details))
+        context.listener.logFailure(attempt, failure, state.accepted)
         if (failure.step == CallStep.CONNECT) {
             state.onUnreachable(attempt.target.key)
             val giveUp = state.connectAttemptsExhausted || context.clock.nowMs() >= state.accepted.deadlineMs
@@ -144,3 +143,19 @@
         const val RETRY_AFTER_MS = 300L
     }
 }
+
+private fun EventListener.logFailure(
+    attempt: Attempt,
+    failure: CallFailure,
+    accepted: AcceptedRequest,
+) = logRequest(
+    "attempt.failed",
+    accepted.id,
+    "target" to attempt.target.key.text,
+    "step" to failure.step,
+    "peer" to failure.peer,
+    "cause" to failure.cause,
+    "after_ms" to attempt.ageMs,
+    "events" to attempt.eventCount,
+    "parts" to accepted.metadata.sharedParts.joinToString(","),
+)
--- a/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
@@ -4,6 +4,7 @@
  */
 package auburnhall.gateway
 
+import auburnhall.routing.PromptPart
 import io.netty.handler.codec.http.HttpHeaders
 
 /** Values of the headers of a caller's request. */
@@ -19,6 +20,8 @@
     val promptTokens: Int,
     /** Id of the last event that the caller received of an interrupted stream; null for a new request. */
     val lastEventId: String?,
+    /** Parts of the prompt that other requests may share: all but the last, in the order of the prompt. */
+    val sharedParts: List<PromptPart> = emptyList(),
 )
 
 /** Reads the headers of callers' requests and builds those of the gateway's own responses. */
