--- a/process-test/src/test/kotlin/auburnhall/process/EntryProcessHandle.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/EntryProcessHandle.kt
@@ -15,7 +15,7 @@
     name: String,
     storePort: Int,
     dir: Path,
-    private val host: String = "127.0.0.1",
+    val host: String = "127.0.0.1",
     private val peerPort: Int = freePort(),
 ) : AutoCloseable {
     private val freePorts = List(PORT_COUNT) { freePort() }
--- a/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
@@ -16,6 +16,7 @@
 import auburnhall.http.newEventLoop
 import auburnhall.http.newHeaders
 import java.net.InetSocketAddress
+import java.util.concurrent.atomic.AtomicInteger
 
 /** Runs the store and all workers on one event loop thread. */
 class StandinPlatform {
@@ -25,6 +26,13 @@
             WorkerIdentity("i-orders", "orders", null)
     private var nextStartNumber = 1L
 
+    /** Part of a prompt that crashes each worker that begins to respond to it; null for none. */
+    @Volatile
+    var crashingPart: String? = null
+
+    /** Number of requests with [crashingPart] that began at a worker. */
+    val crashes = AtomicInteger()
+
     /** The scheduler of the event loop. */
     val scheduler: Scheduler = EventLoopScheduler(loop)
 
@@ -45,7 +53,7 @@
     init {
         loop
             .submit {
-                workers.forEach { it.register("127.0.0.1:${workerPorts.getValue(it)}") }
+                workers.forEach { it.address = "127.0.0.1:${workerPorts.getValue(it)}" }
                 store.put("op/config", CONFIGURATION)
             }.sync()
     }
@@ -54,6 +62,13 @@
 
     internal fun isAlive(id: String): Boolean = workers.any { it.identity.id == id && it.alive }
 
+    /** Whether a prompt with the parts [prefix] crashes the worker that begins to respond; counts it. */
+    internal fun crashesAt(prefix: String): Boolean {
+        val found = crashingPart?.let { part -> prefix.split(',').any { it.startsWith("$part:") } } == true
+        if (found) crashes.incrementAndGet()
+        return found
+    }
+
     /** Kills the worker with [id]. */
     fun kill(id: String) = scheduler.run { workers.first { it.identity.id == id }.kill() }
 
--- a/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
@@ -36,7 +36,8 @@
 ) : RequestHandler {
     private var membership: Membership? = null
     private val staged = LinkedHashSet<String>()
-    private val startNumber = platform.takeStartNumber()
+    private var startNumber = platform.takeStartNumber()
+    private val openStreams = LinkedHashSet<ResponseWriter>()
 
     /** False once it was killed; from then on it answers nothing. */
     var alive = true
@@ -56,13 +57,21 @@
         platform.scheduler.after(ENTRY_EXPIRY_MS) { platform.store.remove(key) }
     }
 
-    /** Sets the address and writes the entry to the store. */
-    fun register(address: String) {
-        this.address = address
+    /** Resets all its streams, loses its membership and starts again at once, as a process that crashes. */
+    fun crash() {
+        openStreams.forEach { it.abort() }
+        openStreams.clear()
+        membership = null
+        startNumber = platform.takeStartNumber()
         publish()
     }
 
-    private var address = ""
+    /** HOST:PORT; the entry is written to the store when it is set. */
+    var address = ""
+        set(value) {
+            field = value
+            publish()
+        }
     private val key get() = "servers/${identity.id}"
 
     override fun onRequest(
@@ -129,8 +138,13 @@
         }
         executions++
         response.start(OK_STATUS, stamped(request, identity.id).set("Content-Type", "text/event-stream"))
-        val lastEventId = request.headers.get("Last-Event-Id")?.toInt() ?: 0
-        streamEvent(current, response, lastEventId + 1)
+        openStreams.add(response)
+        if (platform.crashesAt(request.headers.get("Prompt-Prefix").orEmpty())) {
+            platform.scheduler.after(EVENT_INTERVAL_MS, ::crash)
+        } else {
+            val lastEventId = request.headers.get("Last-Event-Id")?.toInt() ?: 0
+            streamEvent(current, response, lastEventId + 1)
+        }
     }
 
     private fun streamEvent(
@@ -143,8 +157,12 @@
             when {
                 // A replica that lost a member sends nothing more but keeps the connection open.
                 !allMembersAlive -> Unit
+                response !in openStreams -> Unit
                 membership?.epoch != served.epoch -> response.abort()
-                number > EVENTS_PER_STREAM -> response.finish()
+                number > EVENTS_PER_STREAM -> {
+                    openStreams.remove(response)
+                    response.finish()
+                }
                 else -> {
                     response.write(Unpooled.copiedBuffer("id: $number\ndata: n$number\n\n", Charsets.UTF_8))
                     streamEvent(served, response, number + 1)
