Add a failing test: a worker that names a limit gets many times that (LIMIT)

What callers see: a worker in need names in its answers how many requests a second it takes from all processes together, and gets as many as before.

Three real processes call the only worker of a plain service, which names 4 a second. Also asked: refusals are 503 with a time to retry, the limit is used, and it ends when the worker names it no more.

--- a/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
@@ -16,6 +16,7 @@
 import auburnhall.http.newEventLoop
 import auburnhall.http.newHeaders
 import java.net.InetSocketAddress
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Runs the store and all workers on one event loop thread. */
@@ -33,6 +34,13 @@
     /** Number of requests with [crashingPart] that began at a worker. */
     val crashes = AtomicInteger()
 
+    /** Requests per second that the worker of the plain service states that it takes; null for no statement. */
+    @Volatile
+    var ordersPerSecond: Double? = null
+
+    /** When requests arrived at the worker of the plain service, in milliseconds of the monotonic clock. */
+    val orderTimesMs = CopyOnWriteArrayList<Long>()
+
     /** The scheduler of the event loop. */
     val scheduler: Scheduler = EventLoopScheduler(loop)
 
--- a/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
@@ -4,6 +4,7 @@
  */
 package auburnhall.standin
 
+import auburnhall.core.Clock
 import auburnhall.http.InboundRequest
 import auburnhall.http.RequestHandler
 import auburnhall.http.ResponseWriter
@@ -91,7 +92,10 @@
             identity.domain != null -> stream(request, response)
             else -> {
                 executions++
-                response.send(OK_STATUS, stamped(request, identity.id), "{\"number\":$executions}".toByteArray())
+                platform.orderTimesMs.add(Clock.SYSTEM.nowMs())
+                val headers = stamped(request, identity.id)
+                platform.ordersPerSecond?.let { headers.set("Server-Limit", it.toString()) }
+                response.send(OK_STATUS, headers, "{\"number\":$executions}".toByteArray())
             }
         }
     }
