--- a/entry/src/test/kotlin/auburnhall/entry/PartExchangeTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/PartExchangeTest.kt
@@ -37,7 +37,7 @@
         var running = true
 
         /** From then on it should know what the others know. */
-        private val inTouchAtMs = if (time.nowMs() == 0L) 0L else time.nowMs() + CONTACT_MS
+        private val inTouchAtMs = time.nowMs() + CONTACT_MS
 
         fun start() {
             exchange.start()
@@ -129,6 +129,9 @@
 
     private var nextEpoch = 1
 
+    /** The day that is played; what an earlier one has scheduled does nothing. */
+    private var sending = Any()
+
     private fun startFleet(
         count: Int,
         seed: Int,
@@ -140,20 +143,23 @@
     }
 
     /** Sound requests, each with one of [SOUND_PARTS] parts. */
-    private fun sendSound() {
+    private fun sendSound(since: Any = sending) {
+        if (since !== sending) return
         processes.random(random).request(listOf(PromptPart("${random.nextInt(SOUND_PARTS)}")))
-        time.after(SOUND_PERIOD_MS) { sendSound() }
+        time.after(SOUND_PERIOD_MS) { sendSound(since) }
     }
 
     /** Harmful requests, all with the first part of many sound ones. */
-    private fun sendHarmful() {
+    private fun sendHarmful(since: Any = sending) {
+        if (since !== sending) return
         processes.random(random).request(listOf(PromptPart("7"), HARMFUL))
-        time.after(HARMFUL_PERIOD_MS) { sendHarmful() }
+        time.after(HARMFUL_PERIOD_MS) { sendHarmful(since) }
     }
 
-    private fun restartSome() {
+    private fun restartSome(since: Any = sending) {
+        if (since !== sending) return
         processes.random(random).restart()
-        time.after(RESTART_PERIOD_MS) { restartSome() }
+        time.after(RESTART_PERIOD_MS) { restartSome(since) }
     }
 
     private fun harmfulSentTooLate(): Int {
@@ -177,7 +183,9 @@
         seed: Int,
         restarts: Boolean,
     ) {
+        processes.forEach { it.running = false }
         listOf(processes, replicas, harmfulSentAtMs, crashedAtMs).forEach { it.clear() }
+        sending = Any()
         soundRefused = 0
         soundSent = 0
         lossRate = LOSS_RATE
