--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
@@ -22,6 +22,7 @@
 private const val SCOPE = 7
 private const val DATA_CENTRE = 8
 private const val PART_REPORT = 9
+private const val LIMITS = 10
 
 /** Status of a replica as one process reports it. */
 enum class ReplicaStatus {
@@ -50,7 +51,7 @@
     ALL,
 }
 
-/** One datagram: a [partReport], or the status of a replica where [replica] is set, or else a load report. */
+/** One datagram: a [partReport], [limits], the status of a replica where [replica] is set, or else a load report. */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 data class PeerMessage(
@@ -67,6 +68,8 @@
     @ProtoNumber(DATA_CENTRE) val dataCentre: String = "",
     /** Null in the other messages. */
     @ProtoNumber(PART_REPORT) val partReport: PartReport? = null,
+    /** Limits that workers have named; empty in the other messages. */
+    @ProtoNumber(LIMITS) val limits: List<ReportedLimit> = emptyList(),
 ) {
     /** The loads of a load report, by target hash. */
     fun loads(): LoadsByHash =
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
@@ -1,14 +1,15 @@
 /*
- * Messages between the processes: load reports, reports about parts of prompts, and changes in the status of replicas,
- * such as a suspected failure, so that all processes route around a failing replica and not only the one that noticed.
+ * Messages between the processes: load reports, reports about parts of prompts, limits of workers, and changes in the
+ * status of replicas, such as a suspected failure, so that all processes route around a failing replica and not only
+ * the one that noticed.
  */
 package auburnhall.entry
 
 import auburnhall.core.EventListener
 import auburnhall.core.Replica
 import auburnhall.core.Settings
+import auburnhall.gateway.GatewayGuards
 import auburnhall.routing.LoadTracker
-import auburnhall.routing.PartGuard
 import auburnhall.routing.ReplicaFailureDetector
 import auburnhall.routing.TargetHealth
 import auburnhall.routing.TargetKey
@@ -35,24 +36,29 @@
     runtime: PeerRuntime,
     events: EventListener,
     private val routing: RoutingState,
-    guard: PartGuard,
+    guards: GatewayGuards,
 ) {
     private val process = settings.processName
     private val channel = PeerChannel(loop, settings.peerPort, events, ::onMessage)
     private val loads = LoadExchange(settings, runtime.clock, runtime.scheduler, routing.load, channel)
 
     /** Exchanges reports about parts of prompts. */
-    val parts = PartExchange(process, runtime, guard, channel)
+    val parts = PartExchange(process, runtime, guards.parts, channel)
+    private val limits = LimitExchange(process, runtime, guards.limits, channel, events)
     private var peers: Set<String> = emptySet()
 
     /** Number of processes, this one included. */
     val processes: Int get() = peers.size + 1
 
+    /** Position of this process among all processes by name, from 0 to 1. */
+    val phase: Double get() = peers.count { it < process }.toDouble() / processes
+
     /** Binds at [host] and begins to send load reports. */
     fun start(host: String): ChannelFuture {
         val bound = channel.start(host)
         loads.start()
         parts.start()
+        limits.start()
         return bound
     }
 
@@ -61,7 +67,8 @@
         peers = known.keys
         channel.onPeers(known)
         loads.onPeers(known)
-        parts.onPeers(known.keys.toSet())
+        parts.onPeers(peers.toSet())
+        limits.onPeers(peers.toSet())
     }
 
     /** Reports the status of the replica of [key] to all processes, this one included. */
@@ -76,12 +83,11 @@
     private fun onMessage(message: PeerMessage) {
         val partReport = message.partReport
         val replica = message.replica
-        if (partReport != null) {
-            parts.onReport(message.process, partReport)
-        } else if (replica == null) {
-            loads.onMessage(message)
-        } else {
-            onStatus(TargetKey(replica), message.replicaStatus)
+        when {
+            partReport != null -> parts.onReport(message.process, partReport)
+            message.limits.isNotEmpty() -> limits.onReport(message.limits)
+            replica != null -> onStatus(TargetKey(replica), message.replicaStatus)
+            else -> loads.onMessage(message)
         }
     }
 
--- a/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
@@ -12,6 +12,7 @@
 import auburnhall.gateway.Gateway
 import auburnhall.gateway.GatewayCodecs
 import auburnhall.gateway.GatewayContext
+import auburnhall.gateway.GatewayGuards
 import auburnhall.gateway.GatewayObservers
 import auburnhall.gateway.GatewayRouting
 import auburnhall.gateway.GatewayRuntime
@@ -23,6 +24,7 @@
 import auburnhall.platform.PlatformCallerCodec
 import auburnhall.platform.PlatformWorkerCodec
 import auburnhall.routing.AdmissionPolicy
+import auburnhall.routing.DemandShare
 import auburnhall.routing.LoadTracker
 import auburnhall.routing.PartGuard
 import auburnhall.routing.PartGuardRuntime
@@ -32,6 +34,7 @@
 import auburnhall.routing.Router
 import auburnhall.routing.TargetHealth
 import auburnhall.routing.UnreportedRequests
+import auburnhall.routing.WorkerLimits
 import io.netty.channel.EventLoop
 import kotlin.random.Random
 
@@ -56,7 +59,10 @@
 
     /** Decides which parts of prompts crash workers. */
     val verdicts = PartVerdicts(PartGuardRuntime(clock, scheduler, random::nextDouble), listener)
-    private val parts = PartGuard(clock, verdicts, listener)
+    private val share =
+        DemandShare(clock, load, { peerMessenger.processes }) { context.state.targets.of(it.worker.service, it.model) }
+    private val limits = WorkerLimits(clock, share) { peerMessenger.phase }
+    private val guards = GatewayGuards(PartGuard(clock, verdicts, listener), limits)
     private val client = HttpClient(loop, clock)
     private val context: GatewayContext =
         GatewayContext(
@@ -72,7 +78,7 @@
             ),
             GatewayObservers(listener, metrics) { peerMessenger.reportStatus(it, ReplicaStatus.SUSPECT) },
             RetryBudgets(clock, ::retryBounds) { peerMessenger.processes },
-            parts,
+            guards,
         )
 
     /** Exchanges load reports and replica status with the other processes. */
@@ -89,7 +95,7 @@
                 { context.state.targets },
                 onSuspect,
             ) { gateway.onReplicaLost() },
-            parts,
+            guards,
         )
 
     val gateway = Gateway(context, FilterChain({ context.state.configuration }, random))
@@ -101,6 +107,7 @@
     val configured: Boolean get() = context.state.configuration != null
 
     init {
+        metrics.gauge("auburnhall_limited_workers", "Workers that name a limit for requests.") { limits.count }
         metrics.gauge("auburnhall_worker_connections", "Open connections to workers.") { client.openConnections }
         metrics.gauge(
             "auburnhall_worker_connects_total",
--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -109,6 +109,7 @@
 
     fun send() {
         context.load.begin(target.key, unreadTokens)
+        context.limits.onSent(target)
         val metadata =
             WorkerRequestMetadata(
                 timeLeftMs = accepted.deadlineMs - context.clock.nowMs(),
@@ -155,6 +156,7 @@
     ) {
         val head = context.codecs.worker.read(status, headers)
         responseHead = head
+        context.limits.onResponse(target, head.requestsPerSecond)
         val relayed = headers.endToEnd()
         this.headers = relayed
         val success = status in SUCCESS_STATUSES
--- a/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
@@ -63,6 +63,8 @@
     val eventStream: Boolean,
     /** Id of the worker at fault, if it is not the one that responded. */
     val faultyWorkerId: String?,
+    /** Requests per second, above 0, that the worker takes from all processes together; null if it names no limit. */
+    val requestsPerSecond: Double? = null,
 )
 
 /** Builds the headers of requests to workers and reads those of their responses. */
--- a/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
@@ -20,6 +20,7 @@
 import auburnhall.routing.TargetKey
 import auburnhall.routing.TargetTable
 import auburnhall.routing.UnreportedRequests
+import auburnhall.routing.WorkerLimits
 
 /** Called when a replica is suspected to have failed, so that the other processes can be notified. */
 fun interface SuspicionListener {
@@ -78,6 +79,12 @@
     fun of(service: String): RetryBudget = budgets.getOrPut(service) { RetryBudget(clock, bounds, processCount) }
 }
 
+/** Keeps requests from targets that would be harmed: by what is asked, or by how much. */
+class GatewayGuards(
+    val parts: PartGuard,
+    val limits: WorkerLimits,
+)
+
 /** The shared objects of the gateway. */
 class GatewayContext(
     runtime: GatewayRuntime,
@@ -85,7 +92,7 @@
     routing: GatewayRouting,
     observers: GatewayObservers,
     val budgets: RetryBudgets,
-    val parts: PartGuard,
+    guards: GatewayGuards,
 ) {
     val clock = runtime.clock
     val scheduler = runtime.scheduler
@@ -96,6 +103,8 @@
     val health = routing.health
     val failureDetector = routing.failureDetector
     val admission = routing.admission
+    val parts = guards.parts
+    val limits = guards.limits
     val listener = observers.listener
     val metrics = observers.metrics
     val suspicionListener = observers.suspicionListener
--- a/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
@@ -33,6 +33,7 @@
 import auburnhall.routing.TargetHealth
 import auburnhall.routing.TargetTable
 import auburnhall.routing.UnreportedRequests
+import auburnhall.routing.WorkerLimits
 import auburnhall.test.RecordingListener
 import io.netty.handler.codec.http.HttpHeaders
 import org.junit.jupiter.api.AfterEach
@@ -65,7 +66,7 @@
             ),
             GatewayObservers(events, GatewayMetrics.NONE) { },
             RetryBudgets(Clock.SYSTEM, { RetryBounds(1.0, 10_000, 100) }, { 1 }),
-            parts,
+            GatewayGuards(parts, WorkerLimits(Clock.SYSTEM, { 1.0 }) { 0.0 }),
         )
     protected val gateway = Gateway(context, FilterChain({ context.state.configuration }, Random(1)))
     protected val server = HttpServer(loop, Clock.SYSTEM, { CallerLimits.DEFAULT }, gateway)
--- a/routing/src/main/kotlin/auburnhall/routing/Admission.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Admission.kt
@@ -2,7 +2,8 @@
  * Admission control: decides whether a request is sent, queued or refused while its targets are full. Designed for
  * bursts and the loss of replicas: a request is queued as long as the response is likely to be of use to its caller,
  * and refused immediately when the queue is so long that its turn would come too late. Requests that can still be on
- * time go first, so that a backlog does not delay every later request as well.
+ * time go first, so that a backlog does not delay every later request as well. The
+ * same holds while targets name a limit for the requests that they take.
  */
 package auburnhall.routing
 
@@ -49,17 +50,32 @@
             is Choice.Send -> Admission.Send(choice.target, choice.load)
             is Choice.None -> refuse("no target", NO_TARGET_RETRY_MS)
             is Choice.Full -> whenFull(choice, queue)
+            is Choice.Limited -> whenLimited(choice, queue)
         }
 
+    /** Waits for the next turn of the process, or refuses at once if that is too late. */
+    private fun whenLimited(
+        choice: Choice.Limited,
+        queue: QueueState,
+    ): Admission {
+        val expectedMs = maxOf(choice.waitMs, expectedMs(queue))
+        return if (queue.waitedMs + expectedMs < MAX_WAIT_MS) {
+            Admission.Wait
+        } else {
+            refuse("targets take no more requests", maxOf(expectedMs, FULL_RETRY_MS))
+        }
+    }
+
+    private fun expectedMs(queue: QueueState) = queue.requestsAhead * MS_PER_SECOND / (queue.requestsSentLastSecond + 1)
+
     private fun whenFull(
         choice: Choice.Full,
         queue: QueueState,
     ): Admission {
         val limit = choice.target.slots * (if (choice.target.replica == null) PLAIN_OVERCOMMIT else REPLICA_OVERCOMMIT)
-        val expectedMs = queue.requestsAhead * MS_PER_SECOND / (queue.requestsSentLastSecond + 1)
         return when {
             choice.load < limit -> Admission.Send(choice.target, choice.load)
-            queue.waitedMs + expectedMs < MAX_WAIT_MS -> Admission.Wait
+            queue.waitedMs + expectedMs(queue) < MAX_WAIT_MS -> Admission.Wait
             else -> refuse("targets full", FULL_RETRY_MS)
         }
     }
--- a/routing/src/main/kotlin/auburnhall/routing/LoadTracker.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/LoadTracker.kt
@@ -78,12 +78,14 @@
         reportsByPeer[peer] = ReceivedLoad(loads, clock.nowMs())
     }
 
+    /** Load that this process puts on [key]. */
+    fun own(key: TargetKey): TargetLoad = ownByKey[key] ?: TargetLoad.NONE
+
     /** Load of [key], over all processes with a recent report. */
     fun total(key: TargetKey): TargetLoad {
         val now = clock.nowMs()
         val hash = key.text.hashCode()
-        val ours = ownByKey[key] ?: TargetLoad.NONE
-        return ours + (aggregate.others(hash, now) ?: reportedByOthers(hash, now))
+        return own(key) + (aggregate.others(hash, now) ?: reportedByOthers(hash, now))
     }
 
     private fun reportedByOthers(
--- a/routing/src/main/kotlin/auburnhall/routing/Router.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Router.kt
@@ -30,6 +30,11 @@
         val load: Int,
     ) : Choice
 
+    /** Every target takes more requests only later, the first one in [waitMs] milliseconds. */
+    data class Limited(
+        val waitMs: Long,
+    ) : Choice
+
     /** No target is available. */
     data object None : Choice
 }
@@ -43,15 +48,21 @@
     private val unreported: UnreportedRequests,
     private val hasIdleConnection: (Address) -> Boolean,
 ) {
-    /** Chooses among [targets], all of which can serve [requirements]. */
+    /**
+     * Chooses among [targets], all of which can serve [requirements]; [waitMs] returns the time, in milliseconds, until
+     * a target takes a request, 0 if it does now.
+     */
     fun choose(
         requirements: TargetRequirements,
         targets: List<Target>,
+        waitMs: (Target) -> Long = { 0 },
     ): Choice {
         val untried = targets.filter { it.key !in requirements.tried }
         val healthy = untried.filter { !health.isAvoided(it.key) }
         val pool = healthy.ifEmpty { untried.filter { !health.isSuspect(it.key) } }.ifEmpty { untried }
-        val (slow, others) = pool.partition { it.key in health.slow }
+        val ready = pool.filter { waitMs(it) == 0L }
+        if (ready.isEmpty() && pool.isNotEmpty()) return Choice.Limited(pool.minOf(waitMs))
+        val (slow, others) = ready.partition { it.key in health.slow }
         val preferred = spread(others)
         return if (preferred is Choice.Send || slow.isEmpty()) preferred else orSlow(preferred, spread(slow))
     }
--- /dev/null
+++ b/routing/src/main/kotlin/auburnhall/routing/WorkerLimits.kt
@@ -0,0 +1,168 @@
+/*
+ * Limits that workers in need name for the requests that they take from all processes together. Designed for many
+ * processes that each send a few requests: each uses a share of each limit, and sends at points in time that lie evenly
+ * apart and are not those of the others, so that the processes together keep to the limit, also in a burst, without
+ * asking each other for every request. The shares follow the load of the processes.
+ */
+package auburnhall.routing
+
+import auburnhall.core.Clock
+import kotlin.math.ceil
+
+/** What a worker last stated about its limit. */
+data class NamedLimit(
+    val worker: TargetKey,
+    /** Requests per second from all processes together; null if the worker names no limit any more. */
+    val perSecond: Double?,
+    /** When the worker stated it, in milliseconds of the monotonic clock. */
+    val atMs: Long,
+)
+
+/** Share of this process, above 0 and up to 1, in what all processes send to a target. */
+fun interface LoadShare {
+    fun of(target: Target): Double
+}
+
+/** Keeps to the limits that workers name. Traffic thread only, except [count]. */
+class WorkerLimits(
+    private val clock: Clock,
+    private val share: LoadShare,
+    /** Fraction from 0 to 1 that differs evenly between the processes, so that they send at different times. */
+    private val phase: () -> Double,
+) {
+    private val byWorker = LinkedHashMap<TargetKey, Entry>()
+
+    /** Called when a worker has named a limit for the first time, or another one, or none any more. */
+    var onChange: (NamedLimit) -> Unit = {}
+
+    /** Number of workers with a limit. May be read on any thread. */
+    @Volatile
+    var count = 0
+        private set
+
+    /** All limits, and the workers that have recently ended theirs. */
+    val named: List<NamedLimit> get() = byWorker.values.map { it.limit }
+
+    /** The worker of [target] has named the limit [perSecond] in a response, or null if it named none. */
+    fun onResponse(
+        target: Target,
+        perSecond: Double?,
+    ) {
+        val worker = TargetTable.keyOf(target.worker)
+        if (perSecond == null && worker !in byWorker) return
+        val limit = NamedLimit(worker, perSecond, clock.nowMs())
+        if (update(limit)) onChange(limit)
+    }
+
+    /** Another process has reported [limit]; ignored if older than what is known here, or too old. */
+    fun onReported(limit: NamedLimit) {
+        if (clock.nowMs() - limit.atMs < VALID_MS) update(limit)
+    }
+
+    /** Time, in milliseconds, until a request may be sent to [target]; 0 if it may be sent now. */
+    fun waitMs(target: Target): Long = turnsOf(target)?.waitMs() ?: 0
+
+    /** A request is sent to [target]. */
+    fun onSent(target: Target) {
+        turnsOf(target)?.take()
+    }
+
+    /** Forgets the limits that were not named again for [VALID_MS]; called periodically. */
+    fun expire() {
+        val now = clock.nowMs()
+        byWorker.values.removeIf { now - it.limit.atMs >= VALID_MS }
+        count = byWorker.values.count { it.limit.perSecond != null }
+    }
+
+    private fun update(limit: NamedLimit): Boolean {
+        val known = byWorker[limit.worker]
+        if (known == null) {
+            if (byWorker.size >= MAX_WORKERS) {
+                byWorker.remove(
+                    byWorker.values
+                        .minBy { it.limit.atMs }
+                        .limit.worker,
+                )
+            }
+            byWorker[limit.worker] = Entry(limit, Turns(firstTurn(limit.worker), clock.nowMs()))
+        } else {
+            if (known.limit.atMs >= limit.atMs) return false
+            known.limit = limit
+        }
+        count = byWorker.values.count { it.limit.perSecond != null }
+        return known?.limit?.perSecond != limit.perSecond || known == null
+    }
+
+    /** The turns of this process at [target]; null if there is no limit. */
+    private fun turnsOf(target: Target): Turns? {
+        val entry = if (count == 0) null else byWorker[TargetTable.keyOf(target.worker)]
+        val perSecond = entry?.limit?.perSecond ?: return null
+        entry.turns.advance(clock.nowMs(), perSecond * USED_SHARE * share.of(target) / MS_PER_SECOND)
+        return entry.turns
+    }
+
+    /** The processes begin a worker's turns one after the other, and each worker with another process. */
+    private fun firstTurn(worker: TargetKey): Double =
+        (
+            phase() + worker.text
+                .hashCode()
+                .toUInt()
+                .toDouble() / UInt.MAX_VALUE.toDouble()
+        ).mod(1.0)
+
+    private class Entry(
+        var limit: NamedLimit,
+        val turns: Turns,
+    )
+
+    companion object {
+        /** Time after which a limit that was not named again is forgotten. */
+        const val VALID_MS = 30_000L
+
+        /** Workers whose limits are remembered; beyond, the one that was named longest ago is forgotten. */
+        const val MAX_WORKERS = 1_024
+
+        /** Share of a limit that is used; the rest is left for processes that see another load, or have started. */
+        private const val USED_SHARE = 0.8
+        private const val MS_PER_SECOND = 1_000.0
+    }
+}
+
+/**
+ * When a process may send requests to one worker: a turn comes each time that [count], which grows with the rate of the
+ * process, reaches 1 more.
+ */
+private class Turns(
+    private var count: Double,
+    private var atMs: Long,
+) {
+    private var perMs = 0.0
+
+    /** Adds the turns up to [now], at [rate] turns per millisecond, and drops those that are too old. */
+    fun advance(
+        now: Long,
+        rate: Double,
+    ) {
+        count += rate * (now - atMs)
+        atMs = now
+        perMs = rate
+        val excess = count - 1 - rate * VALID_MS
+        if (excess > 0) count -= ceil(excess)
+    }
+
+    /** Time, in milliseconds, from the last [advance] until the next turn; 0 if there is one. */
+    fun waitMs(): Long = if (count >= 1) 0 else ceil((1 - count) / perMs).toLong().coerceIn(1, MAX_WAIT_MS)
+
+    /** Takes a turn. */
+    fun take() {
+        count -= 1
+    }
+
+    private companion object {
+        /** Time for which a turn may be used; longer, and turns would add up to a burst that the worker feels. */
+        const val VALID_MS = 1_000
+
+        /** Stands for any longer wait. */
+        const val MAX_WAIT_MS = 60_000L
+    }
+}
