Treat a stream that ends inside an event as broken off

What callers saw: an answer may have neither a length nor chunks and end with its connection. When its worker crashed in the middle of an event, the part of the event was passed on and the stream ended as if it were complete.

Cause: the end of such a response and the crash of its worker look the same to the HTTP client, and what was left after the last event was relayed. Ruled out: responses with length or chunks, whose early end is an error of the client already (WorkerFramingTest).

Change: a stream that ends inside an event, or with its connection before the first one, has failed: it is resumed at another target after the last complete event, or aborted. Three tests; that the two of a partial event fail on the code before was not run.

--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -13,6 +13,7 @@
 import auburnhall.http.endToEnd
 import auburnhall.routing.Target
 import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import java.io.ByteArrayOutputStream
 
@@ -107,6 +108,12 @@
     private val events = EventSplitter()
     private var relaying = false
 
+    /** Whether the response states where it ends; otherwise a crash of the worker looks like its end. */
+    private var framed = true
+
+    /** Whether the stream ended inside an event, or with its connection before the first one. */
+    private val isBrokenOff: Boolean get() = events.hasPartialEvent || (!framed && !hasEvents)
+
     fun send() {
         context.load.begin(target.key, unreadTokens)
         context.limits.onSent(target)
@@ -160,6 +167,7 @@
         val relayed = headers.endToEnd()
         this.headers = relayed
         val success = status in SUCCESS_STATUSES
+        framed = headers.contains(HttpHeaderNames.CONTENT_LENGTH) || headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
         if (success && head.authentic && head.eventStream) {
             relaying = true
             listener.onStreamHead(this, relayed)
@@ -209,8 +217,9 @@
         val head = checkNotNull(responseHead)
         val success = head.status in SUCCESS_STATUSES
         when {
+            relaying && isBrokenOff -> onFailure(brokenOff())
             relaying -> {
-                if (hasEvents) establish(firstEventAtMs)
+                if (hasEvents && framed) establish(firstEventAtMs)
                 listener.onStreamEnd(this, events.remainder)
             }
             head.notExecuted -> listener.onNotExecuted(this, head)
@@ -246,3 +255,6 @@
         const val NON_REPEATABLE_MAX_CONNECTION_IDLE_MS = 3_000L
     }
 }
+
+private fun Attempt.brokenOff() =
+    CallFailure(CallStep.READ_BODY, target.worker.address, "stream ended inside an event", closedByPeer = true)
--- a/gateway/src/main/kotlin/auburnhall/gateway/EventSplitter.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/EventSplitter.kt
@@ -20,6 +20,10 @@
     var pendingBytes = 0
         private set
 
+    /** Whether bytes other than line breaks were received after the last complete event. */
+    val hasPartialEvent: Boolean
+        get() = (0 until pendingBytes).any { buffer[it] != LINE_FEED && buffer[it] != CARRIAGE_RETURN }
+
     /** Bytes of memory that are held for bytes to come. */
     internal val capacityBytes: Int get() = buffer.size
 
--- a/gateway/src/test/kotlin/auburnhall/gateway/GatewayTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/GatewayTest.kt
@@ -50,6 +50,30 @@
         assertFalse(response.endsWith(lastChunk))
     }
 
+    private fun unframed(text: String) =
+        "HTTP/1.1 200 OK\r\nid: q1\r\nstamp: s\r\ncontent-type: text/event-stream\r\n\r\n$text"
+
+    @Test
+    fun `a stream without length or chunks that ends inside an event is resumed, not ended as if it were complete`() {
+        val broken = Script.Close(unframed("id: 1\ndata: e1\n\nid: 2\nda"))
+        val workers = listOf(worker(broken), worker(broken))
+        serve(*workers.toTypedArray())
+        assertFalse(call("/stream/x").endsWith(lastChunk))
+        assertEquals(1, workers.flatMap { it.requests }.count { it.contains("after: 1") })
+    }
+
+    @Test
+    fun `a stream without length or chunks that ends inside an event and cannot be resumed is aborted`() {
+        serve(worker(Script.Close(unframed("id: 1\ndata: e1\n\nid: 2\nda"))))
+        assertFalse(call("/stream/x").endsWith(lastChunk))
+    }
+
+    @Test
+    fun `a stream without length or chunks that ends after an event is complete`() {
+        serve(worker(Script.Close(unframed("id: 1\ndata: e1\n\n"))))
+        assertTrue(call("/stream/x").endsWith(lastChunk))
+    }
+
     @Test
     fun `a request that is not idempotent is sent once, and gets status 502 if its response is lost`() {
         val target = worker(Script.Reset(""), Script.Send(full("again")))
--- a/gateway/src/test/kotlin/auburnhall/gateway/ScriptedWorker.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/ScriptedWorker.kt
@@ -18,6 +18,11 @@
         val text: String,
     ) : Script
 
+    /** Send [text], then close the connection. */
+    data class Close(
+        val text: String,
+    ) : Script
+
     /** Send [text], then reset the connection. */
     data class Reset(
         val text: String,
@@ -77,6 +82,10 @@
                 is Script.Send -> write(socket, script.text)
                 is Script.Endless -> writeEndlessly(socket, script)
                 is Script.NoResponse -> Unit
+                is Script.Close -> {
+                    write(socket, script.text)
+                    socket.close()
+                }
                 is Script.Reset -> {
                     write(socket, script.text)
                     socket.setSoLinger(true, 0)
