Pass on the change and the end of a worker's limit at once (LIMIT)

Found by reading the diff: what a worker had said before was looked up after it had been replaced, so that only its first statement was sent to all processes at once; another limit or its end reached them by the repetition to two of them twice a second. The comparison now uses what was known before. A new test asks for the first statement, another limit and the end, each once; by the code before, only the first would have been passed on (not run on it).

--- a/routing/src/main/kotlin/auburnhall/routing/WorkerLimits.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/WorkerLimits.kt
@@ -74,23 +74,19 @@
         count = byWorker.values.count { it.limit.perSecond != null }
     }
 
+    /** Keeps [limit] unless a newer one is known; returns whether the worker said something else before. */
     private fun update(limit: NamedLimit): Boolean {
         val known = byWorker[limit.worker]
-        if (known == null) {
-            if (byWorker.size >= MAX_WORKERS) {
-                byWorker.remove(
-                    byWorker.values
-                        .minBy { it.limit.atMs }
-                        .limit.worker,
-                )
-            }
-            byWorker[limit.worker] = Entry(limit, Turns(firstTurn(limit.worker), clock.nowMs()))
-        } else {
-            if (known.limit.atMs >= limit.atMs) return false
-            known.limit = limit
-        }
+        if (known != null && known.limit.atMs >= limit.atMs) return false
+        val before = known?.limit?.perSecond
+        if (known == null) add(limit) else known.limit = limit
         count = byWorker.values.count { it.limit.perSecond != null }
-        return known?.limit?.perSecond != limit.perSecond || known == null
+        return before != limit.perSecond
+    }
+
+    private fun add(limit: NamedLimit) {
+        if (byWorker.size >= MAX_WORKERS) byWorker.remove(byWorker.minBy { it.value.limit.atMs }.key)
+        byWorker[limit.worker] = Entry(limit, Turns(firstTurn(limit.worker), clock.nowMs()))
     }
 
     /** The turns of this process at [target]; null if there is no limit. */
@@ -102,13 +98,14 @@
     }
 
     /** The processes begin a worker's turns one after the other, and each worker with another process. */
-    private fun firstTurn(worker: TargetKey): Double =
-        (
-            phase() + worker.text
+    private fun firstTurn(worker: TargetKey): Double {
+        val offset =
+            worker.text
                 .hashCode()
                 .toUInt()
                 .toDouble() / UInt.MAX_VALUE.toDouble()
-        ).mod(1.0)
+        return (phase() + offset).mod(1.0)
+    }
 
     private class Entry(
         var limit: NamedLimit,
--- a/routing/src/test/kotlin/auburnhall/routing/WorkerLimitsTest.kt
+++ b/routing/src/test/kotlin/auburnhall/routing/WorkerLimitsTest.kt
@@ -51,6 +51,17 @@
         assertEquals(0, limits.count)
     }
 
+    @Test
+    fun `the first statement, another limit and the end are passed on, the same limit again is not`() {
+        val passedOn = ArrayList<Double?>()
+        limits.onChange = { passedOn.add(it.perSecond) }
+        for (perSecond in listOf(null, 2.0, 2.0, 3.0, null, null, 2.0)) {
+            time.advance(1)
+            limits.onResponse(limited, perSecond)
+        }
+        assertEquals(listOf(2.0, 3.0, null, 2.0), passedOn)
+    }
+
     @Test
     fun `a limit that another process reports is kept to, and forgotten when it is not named again`() {
         limits.onReported(NamedLimit(worker, 0.1, time.nowMs()))
