Log how a worker's response states its end, and what it left over

The logs could not tell whether such a response had a length, chunks or neither, nor whether it ended inside an event, so none of the three hypotheses could be ruled out by them.

Change: the HTTP client passes on the framing of a response with its head (the gateway derived it from the headers, and took any Transfer-Encoding for chunks); request.ended names framing and number of events, attempt.failed framing and the bytes of an event under way. No decision changes but for a response with a Transfer-Encoding other than chunked, which now counts as ending with its connection.

Evidence: GatewayTest and WorkerFramingTest pass.

--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -7,13 +7,13 @@
 import auburnhall.http.CallOptions
 import auburnhall.http.CallStep
 import auburnhall.http.Correlation
+import auburnhall.http.Framing
 import auburnhall.http.OutboundCall
 import auburnhall.http.OutboundRequest
 import auburnhall.http.ResponseListener
 import auburnhall.http.endToEnd
 import auburnhall.routing.Target
 import io.netty.buffer.ByteBuf
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import java.io.ByteArrayOutputStream
 
@@ -108,11 +108,15 @@
     private val events = EventSplitter()
     private var relaying = false
 
-    /** Whether the response states where it ends; otherwise a crash of the worker looks like its end. */
-    private var framed = true
+    /** How the response states where it ends; null before its head. */
+    var framing: Framing? = null
+        private set
+
+    /** Bytes of a stream that were received after its last complete event. */
+    val partialEventBytes: Int get() = events.pendingBytes
 
     /** Whether the stream ended inside an event, or with its connection before the first one. */
-    private val isBrokenOff: Boolean get() = events.hasPartialEvent || (!framed && !hasEvents)
+    private val isBrokenOff: Boolean get() = events.hasPartialEvent || (framing == Framing.CLOSE && !hasEvents)
 
     fun send() {
         context.load.begin(target.key, unreadTokens)
@@ -160,14 +164,15 @@
     override fun onHead(
         status: Int,
         headers: HttpHeaders,
+        framing: Framing,
     ) {
+        this.framing = framing
         val head = context.codecs.worker.read(status, headers)
         responseHead = head
         context.limits.onResponse(target, head.requestsPerSecond)
         val relayed = headers.endToEnd()
         this.headers = relayed
         val success = status in SUCCESS_STATUSES
-        framed = headers.contains(HttpHeaderNames.CONTENT_LENGTH) || headers.contains(HttpHeaderNames.TRANSFER_ENCODING)
         if (success && head.authentic && head.eventStream) {
             relaying = true
             listener.onStreamHead(this, relayed)
@@ -219,7 +224,7 @@
         when {
             relaying && isBrokenOff -> onFailure(brokenOff())
             relaying -> {
-                if (hasEvents && framed) establish(firstEventAtMs)
+                if (hasEvents && framing != Framing.CLOSE) establish(firstEventAtMs)
                 listener.onStreamEnd(this, events.remainder)
             }
             head.notExecuted -> listener.onNotExecuted(this, head)
--- a/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
@@ -162,5 +162,7 @@
     "cause" to failure.cause,
     "after_ms" to attempt.ageMs,
     "events" to attempt.eventCount,
+    "framing" to attempt.framing,
+    "partial_event_bytes" to attempt.partialEventBytes,
     "parts" to accepted.metadata.sharedParts.joinToString(","),
 )
--- a/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
@@ -80,7 +80,8 @@
     ) {
         ended = true
         deadlineTask?.cancel()
-        attempt?.let { detach(it) }
+        val last = attempt
+        last?.let { detach(it) }
         val tookMs = context.clock.nowMs() - accepted.request.receivedAt
         context.metrics.onRequestEnded(
             accepted.route.kind.name
@@ -98,6 +99,8 @@
                 "first_event_ms" to response.firstEventAtMs?.let { it - accepted.request.receivedAt },
                 "longest_pause_ms" to response.longestPauseMs.takeIf { response.firstEventAtMs != null },
                 "configuration" to accepted.configuration.version,
+                "framing" to last?.framing,
+                "events" to last?.eventCount,
             )
         context.listener.onEvent(Event("request.ended", accepted.id, common + details))
         inFlight.onEnded()
--- a/http/src/main/kotlin/auburnhall/http/BufferedHttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/BufferedHttpClient.kt
@@ -69,6 +69,7 @@
         override fun onHead(
             status: Int,
             headers: HttpHeaders,
+            framing: Framing,
         ) {
             this.status = status
         }
--- a/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
@@ -175,7 +175,7 @@
             step = CallStep.READ_BODY
             keepAlive = HttpUtil.isKeepAlive(response)
             idleLimitMs = idleLimitMsOf(response)
-            listener.onHead(response.status().code(), response.headers())
+            listener.onHead(response.status().code(), response.headers(), framingOf(response))
         }
 
         private fun onContent(content: HttpContent) {
@@ -211,6 +211,17 @@
         const val MS_PER_SECOND = 1_000
         val TIMEOUT_PARAMETER = Regex("timeout=(\\d+)")
 
+        /** Statuses of responses that have no body, whatever their headers say. */
+        val BODILESS_STATUSES = setOf(204, 304)
+
+        fun framingOf(response: HttpResponse): Framing =
+            when {
+                HttpUtil.isTransferEncodingChunked(response) -> Framing.CHUNKED
+                HttpUtil.isContentLengthSet(response) -> Framing.LENGTH
+                response.status().code() in BODILESS_STATUSES -> Framing.LENGTH
+                else -> Framing.CLOSE
+            }
+
         fun idleLimitMsOf(response: HttpResponse): Long {
             val timeoutS =
                 response
--- a/http/src/main/kotlin/auburnhall/http/OutboundCall.kt
+++ b/http/src/main/kotlin/auburnhall/http/OutboundCall.kt
@@ -46,12 +46,22 @@
     val sent: Boolean get() = step != CallStep.CONNECT
 }
 
+/** How a response states where its body ends. */
+enum class Framing {
+    LENGTH,
+    CHUNKED,
+
+    /** Not at all: the body ends with the connection. */
+    CLOSE,
+}
+
 /** Receives a response on the event loop of the client; [onEnd] or [onFailure] is the last call. */
 interface ResponseListener {
-    /** Called once with the status and headers. */
+    /** Called once, before the body. */
     fun onHead(
         status: Int,
         headers: HttpHeaders,
+        framing: Framing,
     )
 
     /** Called with each part of the body; [content] is released after the call. */
--- a/http/src/test/kotlin/auburnhall/http/WorkerFramingTest.kt
+++ b/http/src/test/kotlin/auburnhall/http/WorkerFramingTest.kt
@@ -47,6 +47,7 @@
         override fun onHead(
             status: Int,
             headers: HttpHeaders,
+            framing: Framing,
         ) {
             this.status = status
         }
