Count a response without length or chunks as complete only after an orderly close (ORDER)

Cause: the absence of a read error was taken for the end. The HTTP decoder ends a response that has neither length nor chunks whenever its channel becomes inactive: after the peer's orderly close, but also after a reset that a pending write of the request meets before the read does, and when this process closes the connection itself, as a stopping event loop does. Ruled out: responses with a length or chunks, whose early end the decoder reports.

Change: the connection keeps its own side open when the peer ends its side, so that the orderly close is an event of its own; only after it is such a response complete. Whatever else ends the connection is a failure, with the error of the write where there is one. Connections of such responses are not taken for reusable.

--- a/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
@@ -1,6 +1,7 @@
 /*
  * One connection to another process. It is closed when bytes arrive while no call is in progress, since later bytes
- * could not be attributed to a call. A late response to an earlier call is recognised by its correlation header and
+ * could not be attributed to a call. A response with neither a length nor chunks is complete only if the peer has ended
+ * the connection in an orderly way: a connection that ends for any other reason says nothing about it. A late response to an earlier call is recognised by its correlation header and
  * dropped. What is dropped, late and interim responses, is bounded, since a faulty peer may send it without end.
  */
 package auburnhall.http
@@ -10,6 +11,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpContent
@@ -34,6 +36,21 @@
     private var idleLimitMs = Long.MAX_VALUE
     private var error: Throwable? = null
 
+    /** Whether the peer has ended its side of the connection in an orderly way. */
+    private var endedByPeer = false
+
+    /** Comes before the codec, which ends a response without framing when it sees the same event. */
+    val peerEndHandler =
+        object : ChannelInboundHandlerAdapter() {
+            override fun userEventTriggered(
+                ctx: ChannelHandlerContext,
+                event: Any,
+            ) {
+                if (event === ChannelInputShutdownEvent.INSTANCE) endedByPeer = error == null
+                ctx.fireUserEventTriggered(event)
+            }
+        }
+
     override fun handlerAdded(ctx: ChannelHandlerContext) {
         context = ctx
     }
@@ -72,7 +89,7 @@
         if (request.body.isNotEmpty() || request.method != HttpMethod.GET) {
             message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
         }
-        context.writeAndFlush(message).addListener { if (it.isSuccess) started.written = true }
+        context.writeAndFlush(message).addListener { if (it.isSuccess) started.written = true else error = it.cause() }
         return started
     }
 
@@ -103,9 +120,24 @@
         ctx.close()
     }
 
+    override fun userEventTriggered(
+        ctx: ChannelHandlerContext,
+        event: Any,
+    ) {
+        if (event !== ChannelInputShutdownEvent.INSTANCE) return
+        call?.let(::failUnfinished)
+        ctx.close()
+    }
+
     override fun channelInactive(ctx: ChannelHandlerContext) {
         client.onClosed(this)
-        call?.let { fail(it, "connection closed before the response was complete", closedByPeer = true) }
+        call?.let(::failUnfinished)
+    }
+
+    private fun failUnfinished(unfinished: ActiveCall) {
+        val cause = error
+        val text = cause?.let(::describe) ?: "connection closed before the response was complete"
+        fail(unfinished, text, closedByPeer = endedByPeer || cause is IOException)
     }
 
     private fun fail(
@@ -138,6 +170,7 @@
     ) : OutboundCall {
         var step = CallStep.AWAIT_RESPONSE
         var keepAlive = false
+        private var framing = Framing.LENGTH
         var written = false
         private var dropping = false
         private var droppedHeads = 0
@@ -173,20 +206,30 @@
                 return
             }
             step = CallStep.READ_BODY
-            keepAlive = HttpUtil.isKeepAlive(response)
+            framing = framingOf(response)
+            keepAlive = HttpUtil.isKeepAlive(response) && framing != Framing.CLOSE
             idleLimitMs = idleLimitMsOf(response)
-            listener.onHead(response.status().code(), response.headers(), framingOf(response))
+            listener.onHead(response.status().code(), response.headers(), framing)
         }
 
         private fun onContent(content: HttpContent) {
             if (!dropping) {
                 if (content.content().isReadable) listener.onContent(content.content())
-                if (content is LastHttpContent && call === this) complete(this)
+                if (content is LastHttpContent && call === this) onLastContent()
             } else {
                 onDropped(content)
             }
         }
 
+        private fun onLastContent() =
+            if (framing != Framing.CLOSE ||
+                endedByPeer
+            ) {
+                complete(this)
+            } else {
+                failUnfinished(this)
+            }
+
         private fun onDropped(content: HttpContent) {
             droppedBytes += content.content().readableBytes()
             if (droppedBytes > MAX_DROPPED_BYTES) fail(this, "late response of more than $MAX_DROPPED_BYTES bytes")
--- a/http/src/main/kotlin/auburnhall/http/HttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpClient.kt
@@ -81,6 +81,7 @@
                 .channel(NioSocketChannel::class.java)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, options.connectTimeoutMs)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
                 .handler(initializer(connection))
                 .connect(peer.host, peer.port)
         pending.startWhenConnected(future)
@@ -90,7 +91,8 @@
     private fun initializer(connection: ClientConnection) =
         object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
-                channel.pipeline().addLast(HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES), connection)
+                val codec = HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES)
+                channel.pipeline().addLast(connection.peerEndHandler, codec, connection)
             }
         }
 
