--- a/gateway/src/test/kotlin/auburnhall/gateway/ScriptedWorker.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/ScriptedWorker.kt
@@ -34,6 +34,12 @@
         val part: String,
     ) : Script
 
+    /** Act by [resumed] if the request asks for the events after one, and by [first] otherwise. */
+    data class Resumable(
+        val first: Script,
+        val resumed: Script,
+    ) : Script
+
     /** Read the request and send nothing. */
     data object NoResponse : Script
 }
@@ -78,24 +84,33 @@
         while (!socket.isClosed) {
             val head = readHead(socket) ?: break
             requests.add(head)
-            when (val script = remainingScripts.poll() ?: Script.NoResponse) {
-                is Script.Send -> write(socket, script.text)
-                is Script.Endless -> writeEndlessly(socket, script)
-                is Script.NoResponse -> Unit
-                is Script.Close -> {
-                    write(socket, script.text)
-                    socket.close()
-                }
-                is Script.Reset -> {
-                    write(socket, script.text)
-                    socket.setSoLinger(true, 0)
-                    socket.close()
-                }
-            }
+            act(socket, remainingScripts.poll() ?: Script.NoResponse, resumed = "\r\nafter: " in head)
         }
         closedConnections.add(socket)
     }
 
+    private fun act(
+        socket: Socket,
+        script: Script,
+        resumed: Boolean,
+    ) {
+        when (script) {
+            is Script.Resumable -> act(socket, if (resumed) script.resumed else script.first, resumed)
+            is Script.Send -> write(socket, script.text)
+            is Script.Endless -> writeEndlessly(socket, script)
+            is Script.NoResponse -> Unit
+            is Script.Close -> {
+                write(socket, script.text)
+                socket.close()
+            }
+            is Script.Reset -> {
+                write(socket, script.text)
+                socket.setSoLinger(true, 0)
+                socket.close()
+            }
+        }
+    }
+
     private fun readHead(socket: Socket): String? {
         val text = StringBuilder()
         val input = socket.getInputStream()
