Check the end of a stream that states none at another worker (ORDER)

Cause, and its class: a statement was made that nobody had made. A stream with neither length nor chunks ends with its connection, and a crash between two events ends it in the same way; the process then wrote the last chunk, which says that the stream is whole.

Change: StreamCompletion asks another worker for what follows the last event, as after any broken stream. Events that come show that it had broken off, and are passed on; an empty stream shows that it was whole. Where it is not possible (route not resumable, attempts used, no room), is refused or has no response within a second, the orderly close after a whole event counts as the end, as the platform states. If the other worker breaks off, the stream is aborted.

--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -64,6 +64,8 @@
     val resumeAfterEventId: String?,
     /** 0 is served first. */
     val priority: Int,
+    /** Whether it is made only to learn whether events follow the last one that the caller received. */
+    val checksEnd: Boolean = false,
 )
 
 internal class Attempt(
@@ -115,8 +117,12 @@
     /** Bytes of a stream that were received after its last complete event. */
     val partialEventBytes: Int get() = events.pendingBytes
 
+    /** Whether it was made only to learn whether the stream was complete, and no event has followed. */
+    val onlyChecksEnd: Boolean get() = options.checksEnd && !hasEvents
+
     /** Whether the stream ended inside an event, or with its connection before the first one. */
-    private val isBrokenOff: Boolean get() = events.hasPartialEvent || (framing == Framing.CLOSE && !hasEvents)
+    private val isBrokenOff: Boolean
+        get() = events.hasPartialEvent || (framing == Framing.CLOSE && !hasEvents && !onlyChecksEnd)
 
     fun send() {
         context.load.begin(target.key, unreadTokens)
--- a/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
@@ -19,6 +19,7 @@
     private val request: ForwardedRequest,
 ) : AttemptListener {
     private val response = state.response
+    private val completion = StreamCompletion(context, state, request)
 
     override fun onStreamHead(
         attempt: Attempt,
@@ -40,9 +41,8 @@
     ) {
         if (attempt !== state.attempt) return
         context.health.onAnswer(attempt.target.key, error = false)
-        state.end("served")
         attempt.buffer.release()
-        response.finishStream(remainder)
+        completion.onStreamEnd(attempt, remainder)
     }
 
     override fun onFullResponse(
@@ -77,6 +77,7 @@
     ) {
         attempt.buffer.release()
         if (attempt !== state.attempt) return
+        if (attempt.onlyChecksEnd) return completion.complete()
         val key = attempt.target.key
         if (attempt.target.replica != null) context.health.markSuspect(key) else context.health.onFailure(key)
         state.detach(attempt)
--- a/gateway/src/main/kotlin/auburnhall/gateway/CallerResponse.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/CallerResponse.kt
@@ -49,12 +49,14 @@
         response.write(Unpooled.wrappedBuffer(event.bytes))
     }
 
-    /** Sends [remainder] and ends the stream. */
-    fun finishStream(remainder: ByteArray) {
+    /** Sends [remainder], what follows the last event of a stream. */
+    fun relayRemainder(remainder: ByteArray) {
         if (remainder.isNotEmpty()) response.write(Unpooled.wrappedBuffer(remainder))
-        response.finish()
     }
 
+    /** Ends the stream as complete. */
+    fun finishStream() = response.finish()
+
     /** Whether the caller keeps up with what is sent. */
     val writable: Boolean get() = response.writable
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -127,11 +127,16 @@
         return admission
     }
 
-    private fun send(target: Target) {
+    /** Sends the request to [target]; with [checksEnd] only to learn whether events follow the last one. */
+    internal fun send(
+        target: Target,
+        checksEnd: Boolean = false,
+    ) {
         state.onSent(target.key)
         inFlight.queue.onSent(pool)
         val resumeAfterEventId = callerResponse.lastEventId?.toString() ?: accepted.metadata.lastEventId
-        val attempt = Attempt(context, accepted, target, AttemptOptions(resumeAfterEventId, priority), outcomes)
+        val options = AttemptOptions(resumeAfterEventId, priority, checksEnd)
+        val attempt = Attempt(context, accepted, target, options, outcomes)
         state.attempt = attempt
         if (target.replica != null) inFlight.supervise(this)
         attempt.send()
--- a/routing/src/main/kotlin/auburnhall/routing/RetryBudget.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/RetryBudget.kt
@@ -28,13 +28,13 @@
         requestTimesMs.addLast(clock.nowMs())
     }
 
-    /** Takes one retry out of the budget; false if the budget is used up. */
-    fun tryAcquire(): Boolean {
+    /** Takes one retry out of the budget; false if [share] of the budget, 0 to 1, is used up. */
+    fun tryAcquire(share: Double = 1.0): Boolean {
         removeExpired()
         val bound = bounds()
         val extraShare = bound.extraRetries * USED_SHARE / processCount().coerceAtLeast(1)
         val allowed = bound.ratio * USED_SHARE * requestTimesMs.size + extraShare
-        if (retryTimesMs.size + 1 > allowed) return false
+        if (retryTimesMs.size + 1 > allowed * share) return false
         retryTimesMs.addLast(clock.nowMs())
         return true
     }
