--- a/gateway/src/main/kotlin/auburnhall/gateway/CallerResponse.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/CallerResponse.kt
@@ -25,6 +25,10 @@
     var lastEventId: Long? = null
         private set
 
+    /** Whether another run can go on after the last event that was sent: it has an id, or there is none yet. */
+    var continuable = true
+        private set
+
     /** When the first event was sent to the caller, in milliseconds of the monotonic clock; null before it. */
     var firstEventAtMs: Long? = null
         private set
@@ -46,6 +50,7 @@
         if (event.id != null && last != null && event.id <= last) return
         recordPause()
         lastEventId = event.id ?: last
+        if (!event.isComment) continuable = event.id != null
         response.write(Unpooled.wrappedBuffer(event.bytes))
     }
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/EventSplitter.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/EventSplitter.kt
@@ -9,7 +9,14 @@
 class StreamEvent(
     val bytes: ByteArray,
     val id: Long?,
-)
+) {
+    /** Whether it only keeps the connection alive and is no part of the stream. */
+    val isComment: Boolean get() = id == null && bytes.firstOrNull() == COMMENT_START
+
+    private companion object {
+        const val COMMENT_START = ':'.code.toByte()
+    }
+}
 
 /** Buffers received bytes and returns complete events. */
 class EventSplitter {
--- a/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
@@ -37,7 +37,7 @@
     var mayHaveExecuted = false
 
     /** Whether the request may be sent to another worker although one may have executed it. */
-    val mayRepeat: Boolean get() = accepted.route.repeatable && hasAttemptsLeft
+    val mayRepeat: Boolean get() = accepted.route.repeatable && hasAttemptsLeft && response.continuable
 
     /** Whether the request may be sent to another worker if none has executed it. */
     val hasAttemptsLeft: Boolean get() = sentTo.size < accepted.route.maxAttempts
--- a/gateway/src/test/kotlin/auburnhall/gateway/BrokenAnswerTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/BrokenAnswerTest.kt
@@ -140,4 +140,22 @@
         assertEquals(listOf(1, 2), eventIds(response))
         assertTrue(looksWhole(response))
     }
+
+    @Test
+    fun `a stream whose last event has no id is not continued by another run`() {
+        val head = head(Delimiter.CHUNKS, "text/event-stream")
+        val whole = Script.Send(head + chunk("data: e1\n\n") + chunk("data: e2\n\n") + lastChunk)
+        val script = Script.Reset(head + chunk("data: e1\n\n"))
+        serve(worker(script, whole), worker(script, whole))
+        assertFalse(looksWhole(call("/stream/x")))
+        assertEquals(1, workers.sumOf { it.requests.size })
+    }
+
+    @Test
+    fun `a stream is continued after a comment without an id`() {
+        val broken = Script.Reset(stream(1) + chunk(": still here\n\n"))
+        val script = Script.Resumable(broken, Script.Send(stream(2) + lastChunk))
+        serve(worker(script), worker(script))
+        assertEquals(listOf(1, 2), eventIds(call("/stream/x")))
+    }
 }
