--- a/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
+++ b/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
@@ -6,6 +6,12 @@
 
 import com.github.michaelbull.result.Result
 
+/** A state of the store: [revision] rises with each change, but only within an [era], see [KeyValueStore]. */
+data class StorePosition(
+    val era: Long,
+    val revision: Long,
+)
+
 /** One item of the store. */
 class StoreItem(
     val key: String,
@@ -94,8 +100,18 @@
 /** Receives the result of a call to the store, on the control thread. */
 typealias StoreCallback<T> = (Result<T, StoreError>) -> Unit
 
-/** Calls return immediately; each callback is called exactly once unless the call is cancelled. */
+/**
+ * Calls return immediately; each callback is called exactly once unless the call is cancelled. After the store was
+ * restored from an older copy, a new era begins: writes since the copy are lost, leases too, and revisions and leases are
+ * given out again. Revisions and leases of different eras must not be compared.
+ */
 interface KeyValueStore {
+    /** Number of the current era, as the last response showed; 0 before the first. */
+    val era: Long
+
+    /** Called when a response shows that another era has begun, before the callback of its call. */
+    var onNewEra: () -> Unit
+
     /** Reads a page of items whose keys begin with [prefix], starting after [afterKey]; null for the first page. */
     fun range(
         prefix: String,
--- a/entry/src/main/kotlin/auburnhall/entry/ChangeSource.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ChangeSource.kt
@@ -6,6 +6,7 @@
 import auburnhall.core.KeyValueStore
 import auburnhall.core.StoreCallback
 import auburnhall.core.StoreChanges
+import auburnhall.core.StorePosition
 import com.github.michaelbull.result.map
 
 /** Changes and how up to date their source was when it sent them. */
@@ -22,9 +23,9 @@
     /** The name of the process that supplies them; null for the store. */
     val peer: String?
 
-    /** Passes the changes after [revision] to [done]; waits up to [waitMs] for one, then passes an empty list. */
+    /** Passes the changes after [from] to [done]; waits up to [waitMs] for one, then passes an empty list. */
     fun changes(
-        revision: Long,
+        from: StorePosition,
         waitMs: Long,
         done: StoreCallback<ChangeBatch>,
     )
@@ -37,10 +38,10 @@
     override val peer: String? = null
 
     override fun changes(
-        revision: Long,
+        from: StorePosition,
         waitMs: Long,
         done: StoreCallback<ChangeBatch>,
-    ) = store.watch("", revision, waitMs) { result ->
+    ) = store.watch("", from.revision, waitMs) { result ->
         done(result.map { ChangeBatch(it, ageMs = 0, storeWasUnavailable = false) })
     }
 }
--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -11,6 +11,7 @@
 import auburnhall.core.Scheduler
 import auburnhall.core.Settings
 import auburnhall.core.StoreItem
+import auburnhall.core.log
 import auburnhall.platform.WorkerClient
 import auburnhall.replica.ControllerTerm
 import auburnhall.replica.ReplicaListener
@@ -69,6 +70,7 @@
 
     init {
         mirror.relaySelector = RelaySelector(context, this, relayMinProcesses, connect)
+        context.store.onNewEra = ::onNewEra
     }
 
     /** Starts all components; call on the control thread. */
@@ -118,6 +120,10 @@
 
     override fun onLeadershipLost() = replicas.onTerm(null)
 
+    private fun onNewEra() {
+        context.events.log("store.restored", "era" to context.store.era, "revision" to mirror.revision)
+    }
+
     private fun claimIfVacant() {
         if (mirror.loaded && mirror.find(Leadership.CONTROLLER_KEY) == null) leadership.onNoLeader()
     }
--- a/entry/src/main/kotlin/auburnhall/entry/PeerChangeSource.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerChangeSource.kt
@@ -9,6 +9,7 @@
 import auburnhall.core.StoreChanges
 import auburnhall.core.StoreError
 import auburnhall.core.StoreItem
+import auburnhall.core.StorePosition
 import auburnhall.http.BufferedHttpClient
 import auburnhall.http.BufferedResult
 import auburnhall.http.OutboundRequest
@@ -53,6 +54,8 @@
     /** See [ChangeBatch.storeWasUnavailable]. */
     @SerialName("storeWasAway") val storeWasUnavailable: Boolean = false,
     val changes: List<RelayedChange> = emptyList(),
+    /** The era of the store in which [at] was reached. */
+    val era: Long = 0,
 ) {
     /** The response body. */
     @OptIn(ExperimentalSerializationApi::class)
@@ -72,37 +75,40 @@
     private val client: BufferedHttpClient,
 ) : ChangeSource {
     override fun changes(
-        revision: Long,
+        from: StorePosition,
         waitMs: Long,
         done: StoreCallback<ChangeBatch>,
     ) {
-        val uri = "${RelayServer.PATH}?$revision,$waitMs"
-        val request = OutboundRequest(HttpMethod.GET, uri, newHeaders(), ByteArray(0))
-        client.call(address, request, waitMs + RESPONSE_MARGIN_MS) { done(read(it)) }
+        val request = OutboundRequest(HttpMethod.GET, RelayPoll(from, waitMs).uri, newHeaders(), ByteArray(0))
+        client.call(address, request, waitMs + RESPONSE_MARGIN_MS) { result ->
+            when (result) {
+                is BufferedResult.Failed -> done(Err(StoreError.NoAnswer(address, result.cause)))
+                is BufferedResult.Completed -> done(read(address, result.status, result.body))
+            }
+        }
     }
 
-    private fun read(result: BufferedResult): Result<ChangeBatch, StoreError> =
-        when {
-            result is BufferedResult.Failed -> Err(StoreError.NoAnswer(address, result.cause))
-            result !is BufferedResult.Completed || result.status != OK -> Err(StoreError.TurnedAway(statusOf(result)))
-            else -> decode(result.body)
-        }
+    companion object {
+        private const val OK = 200
+
+        /** Time allowed for the response after the requested wait is over; many round trips within a region. */
+        const val RESPONSE_MARGIN_MS = 300L
 
-    private fun statusOf(result: BufferedResult) = (result as? BufferedResult.Completed)?.status ?: 0
+        /** The changes in a response of the relay server at [peer]. */
+        fun read(
+            peer: Address,
+            status: Int,
+            body: ByteArray,
+        ): Result<ChangeBatch, StoreError> =
+            try {
+                if (status == OK) Ok(batchOf(RelayedChanges.decode(body))) else Err(StoreError.TurnedAway(status))
+            } catch (e: SerializationException) {
+                Err(StoreError.NoAnswer(peer, "cannot decode relayed changes: ${e.message}"))
+            }
 
-    private fun decode(body: ByteArray): Result<ChangeBatch, StoreError> =
-        try {
-            val relayed = RelayedChanges.decode(body)
+        private fun batchOf(relayed: RelayedChanges): ChangeBatch {
             val changes = StoreChanges(relayed.changes.map { it.toChange() }, relayed.at)
-            Ok(ChangeBatch(changes, relayed.ageMs, relayed.storeWasUnavailable))
-        } catch (e: SerializationException) {
-            Err(StoreError.NoAnswer(address, "cannot decode relayed changes: ${e.message}"))
+            return ChangeBatch(changes, relayed.ageMs, relayed.storeWasUnavailable)
         }
-
-    private companion object {
-        const val OK = 200
-
-        /** Time allowed for the response after the requested wait is over; many round trips within a region. */
-        const val RESPONSE_MARGIN_MS = 300L
     }
 }
--- a/entry/src/main/kotlin/auburnhall/entry/RelayServer.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelayServer.kt
@@ -6,6 +6,7 @@
 import auburnhall.core.Clock
 import auburnhall.core.Scheduler
 import auburnhall.core.StoreChange
+import auburnhall.core.StorePosition
 import auburnhall.http.InboundRequest
 import auburnhall.http.RequestHandler
 import auburnhall.http.ResponseWriter
@@ -13,8 +14,8 @@
 
 /** The state that is relayed. */
 interface RelayedState {
-    /** The revision of the store up to which all changes are included. */
-    val revision: Long
+    /** The state of the store up to which all changes are included. */
+    val position: StorePosition
 
     /** Time, in milliseconds, since this process was last known to have all changes; null before the first load. */
     val ageMs: Long?
@@ -26,6 +27,29 @@
     fun since(revision: Long): List<StoreChange>?
 }
 
+/** A poll for the changes after [from] that waits up to [waitMs] milliseconds for one. */
+class RelayPoll(
+    val from: StorePosition,
+    val waitMs: Long,
+) {
+    /** The request's path and query: revision, wait and era, separated by commas. */
+    val uri: String get() = "${RelayServer.PATH}?${from.revision},$waitMs,${from.era}"
+
+    companion object {
+        /** Reads a poll's [uri]; without an era, as of older versions, that is [defaultEra]. Null if it is invalid. */
+        fun parse(
+            uri: String,
+            defaultEra: Long,
+        ): RelayPoll? {
+            val query = uri.substringAfter('?', "").split(',')
+            val revision = query[0].toLongOrNull()
+            val waitMs = query.getOrNull(1)?.toLongOrNull()
+            val era = query.getOrNull(2)?.toLongOrNull() ?: defaultEra
+            return if (revision == null || waitMs == null) null else RelayPoll(StorePosition(era, revision), waitMs)
+        }
+    }
+}
+
 /** Answers long polls: each waits for a change after its revision, up to its maximum wait. Control thread only. */
 class RelayServer(
     private val clock: Clock,
@@ -42,13 +66,11 @@
         request: InboundRequest,
         response: ResponseWriter,
     ) {
-        val query = request.uri.substringAfter('?', "").split(',')
-        val revision = query[0].toLongOrNull()
-        val waitMs = query.getOrNull(1)?.toLongOrNull()
+        val poll = RelayPoll.parse(request.uri, state.position.era)
         when {
             request.path != PATH -> response.refuse(NOT_FOUND)
-            revision == null || waitMs == null -> response.refuse(BAD_REQUEST)
-            else -> onPoll(Poll(revision, response), waitMs.coerceIn(0, MAX_WAIT_MS))
+            poll == null -> response.refuse(BAD_REQUEST)
+            else -> onPoll(Poll(poll.from, response), poll.waitMs.coerceIn(0, MAX_WAIT_MS))
         }
     }
 
@@ -61,7 +83,7 @@
     ) {
         lastPollAtMs = clock.nowMs()
         val age = state.ageMs
-        val changes = state.since(poll.revision)
+        val changes = state.since(poll.from.revision)
         when {
             age == null || age > MAX_AGE_MS -> poll.response.refuse(UNAVAILABLE)
             changes == null -> poll.response.refuse(GONE)
@@ -81,13 +103,14 @@
 
     private fun answer(poll: Poll) {
         pendingPolls.remove(poll)
-        val changes = state.since(poll.revision)
+        val changes = state.since(poll.from.revision)
         val age = state.ageMs
         if (changes == null || age == null) {
             poll.response.refuse(GONE)
         } else {
-            val batch =
-                RelayedChanges(state.revision, age, state.storeWasUnavailable, changes.map { RelayedChange.of(it) })
+            val relayed = changes.map { RelayedChange.of(it) }
+            val at = state.position
+            val batch = RelayedChanges(at.revision, age, state.storeWasUnavailable, relayed, at.era)
             poll.response.send(OK, newHeaders(), batch.encode())
         }
     }
@@ -95,12 +118,12 @@
     private fun ResponseWriter.refuse(status: Int) = send(status, newHeaders(), ByteArray(0))
 
     private class Poll(
-        val revision: Long,
+        val from: StorePosition,
         val response: ResponseWriter,
     )
 
     companion object {
-        /** Path of polls; the query is the revision and the longest wait in milliseconds, separated by a comma. */
+        /** Path of polls. */
         const val PATH = "/changes"
 
         /**
--- a/entry/src/main/kotlin/auburnhall/entry/ReplicaControllers.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ReplicaControllers.kt
@@ -21,7 +21,10 @@
     private val listener: ReplicaListener,
 ) {
     private val controllers = HashMap<String, ReplicaController>()
-    private var term: ControllerTerm? = null
+
+    /** The term of this process as the controller; null while it is not. */
+    var term: ControllerTerm? = null
+        private set
     private var decisionScheduled = false
     private val controlStall = ControlThreadStall(context.clock)
 
--- a/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
@@ -9,6 +9,7 @@
 import auburnhall.core.StoreError
 import auburnhall.core.StoreItem
 import auburnhall.core.StorePage
+import auburnhall.core.StorePosition
 import auburnhall.core.log
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
@@ -56,9 +57,12 @@
     /** Selects the source of each watch, the store when null; set before [start]. */
     var relaySelector: RelaySelector? = null
 
-    override var revision = 0L
+    override var position = StorePosition(0, 0)
         private set
 
+    /** The store's revision up to which all changes are included. */
+    val revision: Long get() = position.revision
+
     override val ageMs: Long? get() = upToDateAtMs?.let { context.clock.nowMs() - it }
 
     override val storeWasUnavailable: Boolean get() = sourceLostStore || availability.wasUnavailable
@@ -113,7 +117,7 @@
             return
         }
         items.replace(collected, firstRevision)
-        revision = firstRevision
+        position = StorePosition(context.store.era, firstRevision)
         upToDateAtMs = context.clock.nowMs()
         loaded = true
         listener.onBatch(revision)
@@ -124,7 +128,7 @@
         val selected = relaySelector?.next(ageMs) ?: StoreChangeSource(context.store)
         val id = ++lastWatchId
         source = selected
-        selected.changes(revision, waitMs(selected)) { result ->
+        selected.changes(position, waitMs(selected)) { result ->
             if (id == lastWatchId) {
                 source = null
                 result.onSuccess { onChanges(selected, it) }.onFailure { onWatchError(selected, it) }
@@ -149,7 +153,7 @@
         upToDateAtMs = context.clock.nowMs() - received.ageMs
         val batch = received.changes
         batch.changes.forEach(items::apply)
-        revision = maxOf(revision, batch.at)
+        position = position.copy(revision = maxOf(revision, batch.at))
         if (batch.changes.isNotEmpty()) listener.onBatch(revision)
         context.scheduler.after(if (batch.changes.isEmpty()) 0 else timing.batchMs) { watch() }
     }
--- a/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
@@ -8,17 +8,9 @@
 import auburnhall.core.StoreChanges
 import auburnhall.core.StoreError
 import auburnhall.core.StoreItem
-import auburnhall.http.InboundRequest
-import auburnhall.http.ResponseWriter
-import auburnhall.http.newHeaders
 import auburnhall.test.FakeKeyValueStore
 import auburnhall.test.FakeScheduler
 import auburnhall.test.RecordingListener
-import com.github.michaelbull.result.Err
-import com.github.michaelbull.result.Ok
-import io.netty.buffer.ByteBuf
-import io.netty.handler.codec.http.HttpHeaders
-import io.netty.handler.codec.http.HttpMethod
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -56,7 +48,7 @@
         var cutFromStore by ownStore::cut
 
         fun start() {
-            mirror.relaySelector = RelaySelector(context, this, 2) { peer, _ -> InProcessSource(peer) }
+            mirror.relaySelector = RelaySelector(context, this, 2) { peer, _ -> sourceOf(simulated.getValue(peer)) }
             mirror.start()
             checkPeriodically()
         }
@@ -80,43 +72,8 @@
         override fun onBatch(revision: Long) = server.onChanges()
     }
 
-    /** Polls the relay server of another process over a simulated connection with a latency of one millisecond. */
-    private inner class InProcessSource(
-        override val peer: String,
-    ) : ChangeSource {
-        override fun changes(
-            revision: Long,
-            waitMs: Long,
-            done: StoreCallback<ChangeBatch>,
-        ) {
-            var completed = false
-            val parent = simulated.getValue(peer)
-            val request =
-                InboundRequest(HttpMethod.GET, "${RelayServer.PATH}?$revision,$waitMs", newHeaders(), EMPTY, 0)
-            val response =
-                RecordingResponse { status, body ->
-                    time.after(1) {
-                        if (!completed && !parent.frozen) {
-                            completed = true
-                            done(if (status == 200) Ok(current(body)) else Err(StoreError.TurnedAway(status)))
-                        }
-                    }
-                }
-            time.after(waitMs + 300) {
-                if (!completed) {
-                    completed = true
-                    done(Err(StoreError.NoAnswer(ADDRESS, "silent")))
-                }
-            }
-            time.after(1) { if (!parent.frozen) parent.server.onRequest(request, response) }
-        }
-
-        private fun current(body: ByteArray): ChangeBatch {
-            val relayed = RelayedChanges.decode(body)
-            val changes = StoreChanges(relayed.changes.map { it.toChange() }, relayed.at)
-            return ChangeBatch(changes, relayed.ageMs, relayed.storeWasUnavailable)
-        }
-    }
+    private fun sourceOf(parent: SimulatedProcess) =
+        InProcessSource(parent.name, parent.server, time) { !parent.frozen }
 
     /** The store as one process sees it. */
     private inner class CutStore : KeyValueStore by store {
@@ -130,32 +87,6 @@
         ) = store.watch(prefix, revision, waitMs) { if (!cut) done(it) }
     }
 
-    private class RecordingResponse(
-        private val onSent: (Int, ByteArray) -> Unit,
-    ) : ResponseWriter {
-        override var onDisconnect: (() -> Unit)? = null
-        override var onWritabilityChange: (() -> Unit)? = null
-        override val writable = true
-
-        override fun send(
-            status: Int,
-            headers: HttpHeaders,
-            body: ByteArray,
-            onReleased: () -> Unit,
-        ) = onSent(status, body)
-
-        override fun start(
-            status: Int,
-            headers: HttpHeaders,
-        ) = Unit
-
-        override fun write(content: ByteBuf) = Unit
-
-        override fun finish() = Unit
-
-        override fun abort() = Unit
-    }
-
     private fun settings(name: String) =
         Settings(name, "z", name, ADDRESS, ADDRESS, 1, ADDRESS, 1_000, true, OperatorLimits(8_000, 0.2, 10, 10_000))
 
--- a/http/src/main/kotlin/auburnhall/http/BufferedHttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/BufferedHttpClient.kt
@@ -15,6 +15,7 @@
     /** A complete response was received. */
     data class Completed(
         val status: Int,
+        val headers: HttpHeaders,
         val body: ByteArray,
     ) : BufferedResult
 
@@ -64,6 +65,7 @@
         var timeoutTask: auburnhall.core.ScheduledTask? = null
         var finished = false
         private var status = 0
+        private lateinit var headers: HttpHeaders
         private val body = ByteArrayOutputStream()
 
         override fun onHead(
@@ -72,6 +74,7 @@
             framing: Framing,
         ) {
             this.status = status
+            this.headers = headers
         }
 
         override fun onContent(content: ByteBuf) {
@@ -83,7 +86,7 @@
             }
         }
 
-        override fun onEnd() = finish(BufferedResult.Completed(status, body.toByteArray()))
+        override fun onEnd() = finish(BufferedResult.Completed(status, headers, body.toByteArray()))
 
         override fun onFailure(failure: CallFailure) = finish(BufferedResult.Failed(peer, failure.cause, failure.sent))
 
