--- a/gateway/src/main/kotlin/auburnhall/gateway/StreamCompletion.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/StreamCompletion.kt
@@ -1,8 +1,9 @@
 /*
  * Completes a stream for its caller. A response with a length or chunks states its end. One with neither ends with its
- * connection, and a worker that crashes between two events ends it in the same way; another worker is then asked for the
- * events after the last one. Designed for a few such streams among many: the check only uses free slots and a part of
- * the retry budget. Where it is not possible or gets no response, the close counts as the end, as the platform defines.
+ * connection, and a worker that crashes between two events ends it in the same way; another worker is then asked for
+ * the events after the last one. Designed for a few such streams among many: the check only uses free slots and a part
+ * of the retry budget. Where it is not possible or gets no response, the close counts as the end, as the platform
+ * defines.
  */
 package auburnhall.gateway
 
--- a/gateway/src/test/kotlin/auburnhall/gateway/BrokenAnswerTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/BrokenAnswerTest.kt
@@ -82,7 +82,7 @@
             head(Delimiter.NEITHER, "text/event-stream") + ids.joinToString("") { "id: $it\ndata: e$it\n\n" },
         )
 
-    /** Calls two workers: the first closes a stream without length or chunks after event 2, the other does [resumed]. */
+    /** Calls two workers: the first closes a stream that states no end after event 2, the other does [resumed]. */
     private fun callCutAfterTwo(resumed: Script): String {
         val script = Script.Resumable(closedAfter(1, 2), resumed)
         serve(worker(script), worker(script))
@@ -105,7 +105,7 @@
     }
 
     @Test
-    fun `a stream without length or chunks is complete when another worker ends in the same way after the same event`() {
+    fun `a stream without length or chunks is complete when another worker ends it after the same event`() {
         assertTrue(looksWhole(callCutAfterTwo(closedAfter())))
     }
 
--- a/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
@@ -1,14 +1,16 @@
 /*
  * One connection to another process. It is closed when bytes arrive while no call is in progress, since later bytes
  * could not be attributed to a call. A response with neither a length nor chunks is complete only if the peer has ended
- * the connection in an orderly way: a connection that ends for any other reason says nothing about it. A late response to an earlier call is recognised by its correlation header and
- * dropped. What is dropped, late and interim responses, is bounded, since a faulty peer may send it without end.
+ * the connection in an orderly way: a connection that ends for any other reason says nothing about it. A late response
+ * to an earlier call is recognised by its correlation header and dropped. What is dropped, late and interim responses,
+ * is bounded, since a faulty peer may send it without end.
  */
 package auburnhall.http
 
 import auburnhall.core.Address
 import auburnhall.core.Clock
 import io.netty.buffer.Unpooled
+import io.netty.channel.ChannelHandler
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.ChannelInputShutdownEvent
@@ -29,7 +31,7 @@
     val peer: Address,
     private val clock: Clock,
     private val client: HttpClient,
-) : ChannelInboundHandlerAdapter() {
+) {
     private lateinit var context: ChannelHandlerContext
     private var call: ActiveCall? = null
     private var idleSinceMs = 0L
@@ -40,25 +42,10 @@
     private var endedByPeer = false
 
     /** Comes before the codec, which ends a response without framing when it sees the same event. */
-    val peerEndHandler =
-        object : ChannelInboundHandlerAdapter() {
-            override fun userEventTriggered(
-                ctx: ChannelHandlerContext,
-                event: Any,
-            ) {
-                if (event === ChannelInputShutdownEvent.INSTANCE) endedByPeer = error == null
-                ctx.fireUserEventTriggered(event)
-            }
-        }
-
-    override fun handlerAdded(ctx: ChannelHandlerContext) {
-        context = ctx
-    }
+    val peerEndHandler: ChannelHandler = PeerEndHandler()
 
-    override fun channelActive(ctx: ChannelHandlerContext) {
-        client.onOpened()
-        ctx.fireChannelActive()
-    }
+    /** Comes after the codec. */
+    val messageHandler: ChannelHandler = MessageHandler()
 
     /** Whether the connection is open, and was idle for at most [maxIdleMs] and a share of the peer's idle timeout. */
     fun usable(
@@ -93,47 +80,6 @@
         return started
     }
 
-    override fun channelRead(
-        ctx: ChannelHandlerContext,
-        message: Any,
-    ) {
-        try {
-            val active = call
-            if (active == null || message !is HttpObject) {
-                ctx.close()
-            } else if (message.decoderResult().isFailure) {
-                fail(active, describe(message.decoderResult().cause()))
-            } else {
-                active.onMessage(message)
-            }
-        } finally {
-            ReferenceCountUtil.release(message)
-        }
-    }
-
-    override fun exceptionCaught(
-        ctx: ChannelHandlerContext,
-        cause: Throwable,
-    ) {
-        error = cause
-        call?.let { fail(it, describe(cause), closedByPeer = cause is IOException) }
-        ctx.close()
-    }
-
-    override fun userEventTriggered(
-        ctx: ChannelHandlerContext,
-        event: Any,
-    ) {
-        if (event !== ChannelInputShutdownEvent.INSTANCE) return
-        call?.let(::failUnfinished)
-        ctx.close()
-    }
-
-    override fun channelInactive(ctx: ChannelHandlerContext) {
-        client.onClosed(this)
-        call?.let(::failUnfinished)
-    }
-
     private fun failUnfinished(unfinished: ActiveCall) {
         val cause = error
         val text = cause?.let(::describe) ?: "connection closed before the response was complete"
@@ -164,6 +110,67 @@
         finished.listener.onEnd()
     }
 
+    private inner class PeerEndHandler : ChannelInboundHandlerAdapter() {
+        override fun userEventTriggered(
+            ctx: ChannelHandlerContext,
+            event: Any,
+        ) {
+            if (event === ChannelInputShutdownEvent.INSTANCE) endedByPeer = error == null
+            ctx.fireUserEventTriggered(event)
+        }
+    }
+
+    private inner class MessageHandler : ChannelInboundHandlerAdapter() {
+        override fun handlerAdded(ctx: ChannelHandlerContext) {
+            context = ctx
+        }
+
+        override fun channelActive(ctx: ChannelHandlerContext) {
+            client.onOpened()
+        }
+
+        override fun channelRead(
+            ctx: ChannelHandlerContext,
+            message: Any,
+        ) {
+            try {
+                val active = call
+                if (active == null || message !is HttpObject) {
+                    ctx.close()
+                } else if (message.decoderResult().isFailure) {
+                    fail(active, describe(message.decoderResult().cause()))
+                } else {
+                    active.onMessage(message)
+                }
+            } finally {
+                ReferenceCountUtil.release(message)
+            }
+        }
+
+        override fun exceptionCaught(
+            ctx: ChannelHandlerContext,
+            cause: Throwable,
+        ) {
+            error = cause
+            call?.let(::failUnfinished)
+            ctx.close()
+        }
+
+        override fun userEventTriggered(
+            ctx: ChannelHandlerContext,
+            event: Any,
+        ) {
+            if (event !== ChannelInputShutdownEvent.INSTANCE) return
+            call?.let(::failUnfinished)
+            ctx.close()
+        }
+
+        override fun channelInactive(ctx: ChannelHandlerContext) {
+            client.onClosed(this@ClientConnection)
+            call?.let(::failUnfinished)
+        }
+    }
+
     private inner class ActiveCall(
         private val correlation: Correlation?,
         val listener: ResponseListener,
--- a/http/src/main/kotlin/auburnhall/http/HttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpClient.kt
@@ -92,7 +92,7 @@
         object : ChannelInitializer<Channel>() {
             override fun initChannel(channel: Channel) {
                 val codec = HttpClientCodec(MAX_LINE_BYTES, MAX_HEAD_BYTES, MAX_CHUNK_BYTES)
-                channel.pipeline().addLast(connection.peerEndHandler, codec, connection)
+                channel.pipeline().addLast(connection.peerEndHandler, codec, connection.messageHandler)
             }
         }
 
