Load the store again when it was restored, at every process and relay (CONFIG)

What callers saw: 404 for a route six seconds after its version was confirmed, at a process that was cut off from the store while it was restored (docs/incidents/config.md).

Cause: revisions of the store before and after a restore were taken for the same scale. A watch went on from a revision that the restored store had reached again with other changes, and what was written up to it was never seen. So did an item read again with the revision of the one that was held, and a relay answered a poll from a later revision with an empty list. Ruled out: a forgotten history, which is answered with 410 and reloaded.

Change: a position in the store is an era and a revision. Relays hand on changes of one era only: a child of an earlier era reloads, one of a later era looks for another source. A restore counts as an outage for entries that the copy lacks.

--- a/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
+++ b/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
@@ -102,8 +102,8 @@
 
 /**
  * Calls return immediately; each callback is called exactly once unless the call is cancelled. After the store was
- * restored from an older copy, a new era begins: writes since the copy are lost, leases too, and revisions and leases are
- * given out again. Revisions and leases of different eras must not be compared.
+ * restored from an older copy, a new era begins: writes since the copy are lost, leases too, and revisions and leases
+ * are given out again. Revisions and leases of different eras must not be compared.
  */
 interface KeyValueStore {
     /** Number of the current era, as the last response showed; 0 before the first. */
--- a/entry/src/main/kotlin/auburnhall/entry/ChangeSource.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ChangeSource.kt
@@ -16,6 +16,8 @@
     val ageMs: Long,
     /** Whether the store is or recently was unavailable to the source, so that leases of live owners may expire. */
     val storeWasUnavailable: Boolean,
+    /** The era of the store in which the changes were made. */
+    val era: Long,
 )
 
 /** Supplies changes on request. Control thread only. */
@@ -42,6 +44,6 @@
         waitMs: Long,
         done: StoreCallback<ChangeBatch>,
     ) = store.watch("", from.revision, waitMs) { result ->
-        done(result.map { ChangeBatch(it, ageMs = 0, storeWasUnavailable = false) })
+        done(result.map { ChangeBatch(it, ageMs = 0, storeWasUnavailable = false, era = store.era) })
     }
 }
--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -70,7 +70,10 @@
 
     init {
         mirror.relaySelector = RelaySelector(context, this, relayMinProcesses, connect)
-        context.store.onNewEra = ::onNewEra
+        context.store.onNewEra = {
+            context.events.log("store.restored", "era" to context.store.era, "mirrored" to mirror.position)
+            mirror.onNewEra()
+        }
     }
 
     /** Starts all components; call on the control thread. */
@@ -120,10 +123,6 @@
 
     override fun onLeadershipLost() = replicas.onTerm(null)
 
-    private fun onNewEra() {
-        context.events.log("store.restored", "era" to context.store.era, "revision" to mirror.revision)
-    }
-
     private fun claimIfVacant() {
         if (mirror.loaded && mirror.find(Leadership.CONTROLLER_KEY) == null) leadership.onNoLeader()
     }
--- a/entry/src/main/kotlin/auburnhall/entry/MirroredItems.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/MirroredItems.kt
@@ -5,6 +5,7 @@
 
 import auburnhall.core.StoreChange
 import auburnhall.core.StoreItem
+import auburnhall.core.StorePosition
 
 /** Holds the items and notifies [listener] of changes. Control thread only. */
 class MirroredItems(
@@ -12,6 +13,7 @@
 ) {
     private val items = HashMap<String, StoreItem>()
     private val history = ChangeHistory()
+    private var era: Long? = null
 
     /** The item at [key]; null when there is none. */
     fun find(key: String): StoreItem? = items[key]
@@ -19,14 +21,25 @@
     /** The changes after [revision]; null when the history no longer holds all of them. */
     fun since(revision: Long): List<StoreChange>? = history.since(revision)
 
-    /** Replaces all items by [read]: those of the store at [revision], where later changes may be included. */
+    /** Replaces all items by [read]: those of the store at [position], where later changes may be included. */
     fun replace(
         read: Map<String, StoreItem>,
-        revision: Long,
+        position: StorePosition,
     ) {
-        (items.keys - read.keys).forEach { remove(it, revision) }
-        read.values.filter { it.revision != items[it.key]?.revision }.forEach(::put)
-        history.restart(revision)
+        val restored = era?.let { it != position.era } == true
+        era = position.era
+        (items.keys - read.keys).forEach { remove(it, position.revision) }
+        if (restored) {
+            read.values.forEach(::putRestored)
+        } else {
+            read.values.filter { it.revision != items[it.key]?.revision }.forEach(::put)
+        }
+        history.restart(position.revision)
+    }
+
+    private fun putRestored(item: StoreItem) {
+        items[item.key] = item
+        listener.onRestored(item)
     }
 
     /** Applies [change] and adds it to the history. */
--- a/entry/src/main/kotlin/auburnhall/entry/PeerChangeSource.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerChangeSource.kt
@@ -90,6 +90,7 @@
 
     companion object {
         private const val OK = 200
+        private const val GONE = 410
 
         /** Time allowed for the response after the requested wait is over; many round trips within a region. */
         const val RESPONSE_MARGIN_MS = 300L
@@ -101,14 +102,18 @@
             body: ByteArray,
         ): Result<ChangeBatch, StoreError> =
             try {
-                if (status == OK) Ok(batchOf(RelayedChanges.decode(body))) else Err(StoreError.TurnedAway(status))
+                when (status) {
+                    OK -> Ok(batchOf(RelayedChanges.decode(body)))
+                    GONE -> Err(StoreError.HistoryGone)
+                    else -> Err(StoreError.TurnedAway(status))
+                }
             } catch (e: SerializationException) {
                 Err(StoreError.NoAnswer(peer, "cannot decode relayed changes: ${e.message}"))
             }
 
         private fun batchOf(relayed: RelayedChanges): ChangeBatch {
             val changes = StoreChanges(relayed.changes.map { it.toChange() }, relayed.at)
-            return ChangeBatch(changes, relayed.ageMs, relayed.storeWasUnavailable)
+            return ChangeBatch(changes, relayed.ageMs, relayed.storeWasUnavailable, relayed.era)
         }
     }
 }
--- a/entry/src/main/kotlin/auburnhall/entry/RelayServer.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelayServer.kt
@@ -23,8 +23,8 @@
     /** Whether the store is or recently was unavailable. */
     val storeWasUnavailable: Boolean
 
-    /** The changes after [revision]; null when the history no longer holds all of them. */
-    fun since(revision: Long): List<StoreChange>?
+    /** The changes after [from]; null when the history does not hold all of them, as after a restore of the store. */
+    fun since(from: StorePosition): List<StoreChange>?
 }
 
 /** A poll for the changes after [from] that waits up to [waitMs] milliseconds for one. */
@@ -83,9 +83,10 @@
     ) {
         lastPollAtMs = clock.nowMs()
         val age = state.ageMs
-        val changes = state.since(poll.from.revision)
+        val changes = state.since(poll.from)
         when {
             age == null || age > MAX_AGE_MS -> poll.response.refuse(UNAVAILABLE)
+            poll.from.era > state.position.era -> poll.response.refuse(UNAVAILABLE)
             changes == null -> poll.response.refuse(GONE)
             changes.isNotEmpty() -> answer(poll)
             else -> holdUntilChange(poll, waitMs)
@@ -103,7 +104,7 @@
 
     private fun answer(poll: Poll) {
         pendingPolls.remove(poll)
-        val changes = state.since(poll.from.revision)
+        val changes = state.since(poll.from)
         val age = state.ageMs
         if (changes == null || age == null) {
             poll.response.refuse(GONE)
--- a/entry/src/main/kotlin/auburnhall/entry/StoreAvailability.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreAvailability.kt
@@ -30,6 +30,11 @@
         context.events.log("store.regained", "after_ms" to now - lostSinceMs)
     }
 
+    /** The store was restored: entries that the copy lacks are written again, or expire, as after an outage. */
+    fun onRestored() {
+        regainedAtMs = context.clock.nowMs()
+    }
+
     /** A request failed with [error]; calls [retry] after the backoff. */
     fun onError(
         error: StoreError,
--- a/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
@@ -1,14 +1,14 @@
 /*
  * An in-memory copy of the store. It is loaded page by page and then kept up to date by watching for changes, either in
  * the store itself or at another process that relays them. It is loaded again when the source no longer has all changes
- * since the mirrored revision.
+ * since the mirrored revision, and when the store was restored: the revisions that are mirrored then belong to an era
+ * whose changes may be lost, and the store reaches them again with other changes.
  */
 package auburnhall.entry
 
 import auburnhall.core.StoreChange
 import auburnhall.core.StoreError
 import auburnhall.core.StoreItem
-import auburnhall.core.StorePage
 import auburnhall.core.StorePosition
 import auburnhall.core.log
 import com.github.michaelbull.result.onFailure
@@ -19,6 +19,9 @@
     /** [item] was written. */
     fun onPut(item: StoreItem)
 
+    /** [item] was read from a restored store; it may be older than what was passed to this listener before. */
+    fun onRestored(item: StoreItem) = onPut(item)
+
     /** [key] was removed at [revision] or earlier. */
     fun onRemoved(
         key: String,
@@ -49,6 +52,7 @@
 ) : RelayedState {
     private val items = MirroredItems(listener)
     private val availability = StoreAvailability(context)
+    private val loader = StoreLoader(context, availability, ::onLoaded)
     private var lastWatchId = 0L
     private var source: ChangeSource? = null
     private var upToDateAtMs: Long? = null
@@ -74,10 +78,21 @@
     var loaded = false
         private set
 
-    override fun since(revision: Long): List<StoreChange>? = items.since(revision)
+    override fun since(from: StorePosition): List<StoreChange>? =
+        if (from.era == position.era) items.since(from.revision) else null
 
     /** Loads all items and then watches for changes. */
-    fun start() = loadPage(null, LinkedHashMap(), null)
+    fun start() {
+        lastWatchId++
+        source = null
+        loader.start()
+    }
+
+    /** The store was restored; entries that the copy lacks may be written again. */
+    fun onNewEra() {
+        availability.onRestored()
+        start()
+    }
 
     /** The mirrored item at [key]; null when there is none. */
     fun find(key: String): StoreItem? = items.find(key)
@@ -93,31 +108,12 @@
         }
     }
 
-    private fun loadPage(
-        after: String?,
-        collected: LinkedHashMap<String, StoreItem>,
-        firstRevision: Long?,
-    ) {
-        context.store.range("", after) { result ->
-            result
-                .onSuccess { onPage(it, collected, firstRevision ?: it.at) }
-                .onFailure { availability.onError(it) { start() } }
-        }
-    }
-
-    private fun onPage(
-        page: StorePage,
-        collected: LinkedHashMap<String, StoreItem>,
-        firstRevision: Long,
+    private fun onLoaded(
+        read: Map<String, StoreItem>,
+        at: StorePosition,
     ) {
-        availability.onAnswer()
-        page.items.associateByTo(collected) { it.key }
-        if (page.hasMore && page.items.isNotEmpty()) {
-            loadPage(page.items.last().key, collected, firstRevision)
-            return
-        }
-        items.replace(collected, firstRevision)
-        position = StorePosition(context.store.era, firstRevision)
+        position = at
+        items.replace(read, at)
         upToDateAtMs = context.clock.nowMs()
         loaded = true
         listener.onBatch(revision)
@@ -148,7 +144,13 @@
         from: ChangeSource,
         received: ChangeBatch,
     ) {
-        if (from.peer == null) availability.onAnswer()
+        val peer = from.peer
+        if (peer != null && received.era != position.era) {
+            relaySelector?.onFailed(peer, "its state is of era ${received.era}, not ${position.era}")
+            watch()
+            return
+        }
+        if (peer == null) availability.onAnswer()
         sourceLostStore = received.storeWasUnavailable
         upToDateAtMs = context.clock.nowMs() - received.ageMs
         val batch = received.changes
@@ -163,12 +165,12 @@
         error: StoreError,
     ) {
         val peer = from.peer
-        if (peer != null) {
+        if (error is StoreError.HistoryGone) {
+            context.events.log("store.history_gone", "position" to position, "source" to (peer ?: "store"))
+            start()
+        } else if (peer != null) {
             relaySelector?.onFailed(peer, error)
             watch()
-        } else if (error is StoreError.HistoryGone) {
-            context.events.log("store.history_gone", "revision" to revision)
-            start()
         } else {
             availability.onError(error) { watch() }
         }
