Register again after a restore of the store, and when the registration is missing (CONFIG)

What would be seen: a live process that the others do not know, so that it gets no load reports, limits or relayed changes, for good.

Cause: the ID of a lease was taken for one lease for ever. A restored store gives out IDs again; a renewal then succeeds though the lease is another process's, and the registration is gone. A write of an earlier lease that is carried out late moves the registration to a lease that somebody else ends.

Change: a process registers under a new lease as soon as it learns of a new era, and whenever the mirror lacks its registration for two seconds; what belongs to an earlier lease is ignored.

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -72,6 +72,7 @@
         mirror.relaySelector = RelaySelector(context, this, relayMinProcesses, connect)
         context.store.onNewEra = {
             context.events.log("store.restored", "era" to context.store.era, "mirrored" to mirror.position)
+            registration.start()
             mirror.onNewEra()
         }
     }
@@ -141,6 +142,7 @@
         view.expire()
         mirror.checkAge()
         leadership.check()
+        registration.check(missing = mirror.loaded && mirror.find(registration.key) == null)
         claimIfVacant()
         if (leadership.isLeading) quarantine.write()
         replicas.decide()
--- a/entry/src/main/kotlin/auburnhall/entry/ProcessRegistration.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ProcessRegistration.kt
@@ -1,6 +1,8 @@
 /*
  * Registers this process in the store under a lease, so that the other processes know its address. Renewals are sent
  * regularly, so a missing response also shows that the connections to the store are dead; they are then opened again.
+ * A renewal does not show that the registration exists: a restored store may have given the lease to another process,
+ * or carry out an earlier write late. So the registration is also made again when the mirror lacks it.
  */
 package auburnhall.entry
 
@@ -17,17 +19,37 @@
 ) {
     private var stopped = false
     private var held: StoreLease? = null
+    private var lastAttempt = 0L
+    private var missingSinceMs: Long? = null
 
-    /** Registers this process, and again whenever the lease has expired. */
+    /** The key of this process. */
+    val key = KEY_PREFIX + context.settings.processName
+
+    /** Registers this process under a new lease; an attempt in progress and the lease before are given up. */
     fun start() {
         if (stopped) return
+        val attempt = ++lastAttempt
+        missingSinceMs = null
+        held = null
         context.store.grantLease(LEASE_TTL_MS) { result ->
-            result
-                .onSuccess(::register)
-                .onFailure { retryLater(it) }
+            if (attempt == lastAttempt) result.onSuccess(::register).onFailure { retryLater(it) }
         }
     }
 
+    /** Registers again if the registration, which the mirror does or does not hold, is [missing] for some time. */
+    fun check(missing: Boolean) {
+        if (!missing || held == null) {
+            missingSinceMs = null
+            return
+        }
+        val now = context.clock.nowMs()
+        val since = missingSinceMs ?: now
+        missingSinceMs = since
+        if (now - since < MISSING_GRACE_MS) return
+        context.events.log("registration.missing", "lease" to held?.id, "for_ms" to now - since)
+        start()
+    }
+
     /** Ends the lease, which removes the registration. */
     fun stop() {
         stopped = true
@@ -37,20 +59,24 @@
     private fun register(lease: StoreLease) {
         held = lease
         val self = PeerProcess(context.settings.host, context.settings.dataCentre)
-        val put = StoreTransaction.Put(KEY_PREFIX + context.settings.processName, self.encode(), lease.id)
+        val put = StoreTransaction.Put(key, self.encode(), lease.id)
         context.store.commit(StoreTransaction(emptyMap(), listOf(put))) { result ->
-            result
-                .onSuccess { context.scheduler.after(LEASE_RENEW_INTERVAL_MS) { renew(lease) } }
-                .onFailure { retryLater(it) }
+            if (held === lease) {
+                result
+                    .onSuccess { context.scheduler.after(LEASE_RENEW_INTERVAL_MS) { renew(lease) } }
+                    .onFailure { retryLater(it) }
+            }
         }
     }
 
     private fun renew(lease: StoreLease) {
-        if (stopped) return
+        if (stopped || held !== lease) return
         context.store.renewLease(lease.id) { result ->
-            result
-                .onSuccess { context.scheduler.after(LEASE_RENEW_INTERVAL_MS) { renew(lease) } }
-                .onFailure { onRenewFailed(lease, it) }
+            if (held === lease) {
+                result
+                    .onSuccess { context.scheduler.after(LEASE_RENEW_INTERVAL_MS) { renew(lease) } }
+                    .onFailure { onRenewFailed(lease, it) }
+            }
         }
     }
 
@@ -70,8 +96,9 @@
     }
 
     private fun retryLater(error: StoreError) {
+        val attempt = lastAttempt
         context.events.log("registration.failed", "error" to error)
-        context.scheduler.after(RETRY_MS) { start() }
+        context.scheduler.after(RETRY_MS) { if (attempt == lastAttempt) start() }
     }
 
     companion object {
@@ -82,5 +109,8 @@
         private const val LEASE_TTL_MS = 10_000L
         private const val LEASE_RENEW_INTERVAL_MS = 2_000L
         private const val RETRY_MS = 1_000L
+
+        /** Time until a registration is mirrored, also through other processes. */
+        private const val MISSING_GRACE_MS = 2_000L
     }
 }
