--- a/entry/src/main/kotlin/auburnhall/entry/ClaimTimer.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ClaimTimer.kt
@@ -31,7 +31,7 @@
         pending = true
         val maxDelayMs = (election.processes * CLAIM_SPACING_MS).coerceIn(MIN_CLAIM_DELAY_MS, MAX_CLAIM_DELAY_MS)
         context.scheduler.after(context.random.nextLong(maxDelayMs)) {
-            if (election.vacant) claim() else pending = false
+            if (election.vacant && context.clock.nowMs() >= pausedUntilMs) claim() else pending = false
         }
     }
 
@@ -40,10 +40,15 @@
         pending = false
     }
 
+    /** Makes no claim for [ms] milliseconds. */
+    fun pause(ms: Long) {
+        pausedUntilMs = maxOf(pausedUntilMs, context.clock.nowMs() + ms)
+    }
+
     /** The claim failed or may have failed; the next one is made after a pause. */
     fun onFailed() {
         pending = false
-        pausedUntilMs = context.clock.nowMs() + CLAIM_PAUSE_MS
+        pause(CLAIM_PAUSE_MS)
     }
 
     private companion object {
--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -11,6 +11,7 @@
 import auburnhall.core.Scheduler
 import auburnhall.core.Settings
 import auburnhall.core.StoreItem
+import auburnhall.core.StorePosition
 import auburnhall.core.log
 import auburnhall.platform.WorkerClient
 import auburnhall.replica.ControllerTerm
@@ -61,6 +62,9 @@
     /** Whether this process is the controller. May be read on any thread. */
     val isLeading: Boolean get() = leadership.isLeading
 
+    private var startedAtMs = 0L
+    private var mirroredEra = 0L
+
     /** Due time of the next tick; a late tick means that the control thread stalled. */
     private var tickDueAtMs = 0L
 
@@ -72,6 +76,7 @@
         mirror.relaySelector = RelaySelector(context, this, relayMinProcesses, connect)
         context.store.onNewEra = {
             context.events.log("store.restored", "era" to context.store.era, "mirrored" to mirror.position)
+            leadership.onNewEra()
             registration.start()
             mirror.onNewEra()
         }
@@ -79,7 +84,8 @@
 
     /** Starts all components; call on the control thread. */
     fun start() {
-        tickDueAtMs = context.clock.nowMs()
+        startedAtMs = context.clock.nowMs()
+        tickDueAtMs = startedAtMs
         replicas.mayOrder = { leadership.isLeading }
         mirror.start()
         registration.start()
@@ -112,20 +118,23 @@
     }
 
     override fun onBatch(revision: Long) {
-        claimIfVacant()
+        if (mirror.position.era != mirroredEra) leadership.onRestored(mirror.find(Leadership.CONTROLLER_KEY))
+        mirroredEra = mirror.position.era
+        checkController()
         relay.onChanges()
         view.publish(revision)
     }
 
-    override fun onLeadershipAcquired(revision: Long) {
-        val first = context.settings.firstStart && revision < FIRST_TERM_REVISION_LIMIT
-        replicas.onTerm(ControllerTerm(revision * EPOCHS_PER_REVISION, first))
+    override fun onLeadershipAcquired(position: StorePosition) {
+        val first = context.settings.firstStart && context.clock.nowMs() - startedAtMs < FIRST_TERM_MAX_AGE_MS
+        val firstEpoch = position.era * EPOCHS_PER_ERA + position.revision * EPOCHS_PER_REVISION
+        replicas.onTerm(ControllerTerm(firstEpoch, first))
     }
 
     override fun onLeadershipLost() = replicas.onTerm(null)
 
-    private fun claimIfVacant() {
-        if (mirror.loaded && mirror.find(Leadership.CONTROLLER_KEY) == null) leadership.onNoLeader()
+    private fun checkController() {
+        if (mirror.loaded) leadership.onMirrored(mirror.find(Leadership.CONTROLLER_KEY))
     }
 
     private inner class MirroredElection : ElectionState {
@@ -143,7 +152,7 @@
         mirror.checkAge()
         leadership.check()
         registration.check(missing = mirror.loaded && mirror.find(registration.key) == null)
-        claimIfVacant()
+        checkController()
         if (leadership.isLeading) quarantine.write()
         replicas.decide()
         context.scheduler.after(periodMs) { tick() }
@@ -200,7 +209,13 @@
          */
         const val MAX_WATCH_WAIT_MS = 3_000L
 
-        /** A term that begins at this revision of the store or later is not the first term of the system. */
-        const val FIRST_TERM_REVISION_LIMIT = 1_000L
+        /**
+         * Epochs reserved for an era of the store, in which revisions begin from below again: more than 10^8 revisions
+         * use. Epochs stay exact as floating-point numbers for 900 eras.
+         */
+        const val EPOCHS_PER_ERA = 10_000_000_000_000L
+
+        /** Age of the process after which a term is not the first of the system; requests come later than this. */
+        const val FIRST_TERM_MAX_AGE_MS = 6_000L
     }
 }
--- a/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
@@ -1,13 +1,13 @@
 /*
  * Leader election: the controller of the replicas is the process that holds the lease of the controller key in the
- * store. The store's revision of the write of that key identifies the term, so that the orders of a later controller
- * take precedence over those of an earlier one.
+ * store. The store's position at the write of that key identifies the term, so that the orders of a later controller
+ * take precedence over those of an earlier one. A restored store may have lost the key: a term goes on only if the key
+ * is still there, and no other process claims it until all leases of the era before have expired.
  */
 package auburnhall.entry
 
-import auburnhall.core.StoreError
 import auburnhall.core.StoreItem
-import auburnhall.core.StoreLease
+import auburnhall.core.StorePosition
 import auburnhall.core.StoreTransaction
 import auburnhall.core.log
 import com.github.michaelbull.result.onFailure
@@ -15,8 +15,8 @@
 
 /** Receives the beginning and the end of this process's terms as the controller. */
 interface LeadershipListener {
-    /** A term begins; [revision] is higher than that of any earlier term. */
-    fun onLeadershipAcquired(revision: Long)
+    /** A term begins; [position] is later than that of any earlier term. */
+    fun onLeadershipAcquired(position: StorePosition)
 
     /** The term has ended, or may have ended because the lease could not be renewed in time. */
     fun onLeadershipLost()
@@ -28,25 +28,40 @@
     private val listener: LeadershipListener,
     election: ElectionState,
 ) {
-    private val claims = ClaimTimer(context, election, ::grantAndClaim)
-    private val ttlMs = maxOf(LEASE_TTL_MS, context.settings.minLeaseMs)
-    private var lease: StoreLease? = null
+    private val claims = ClaimTimer(context, election, ::claim)
+    private val lease = ControllerLease(context)
+    private val unheldKey = UnheldControllerKey(context)
 
     @Volatile
     private var leading = false
     private var stopped = false
-
-    @Volatile
-    private var validUntilMs = 0L
     private var electedRevision = 0L
 
     /** Whether this process is the controller now. May be read from any thread. */
-    val isLeading: Boolean get() = leading && context.clock.nowMs() < validUntilMs
+    val isLeading: Boolean get() = leading && lease.valid
 
     /** The controller key was loaded or written; recognizes a claim of this process whose response was lost. */
     fun onKey(item: StoreItem) {
-        val held = lease ?: return
-        if (!leading && String(item.value) == held.controllerValue(context)) beginTerm(held, item.revision)
+        if (!leading && String(item.value) == lease.keyValue) {
+            beginTerm(StorePosition(context.store.era, item.revision))
+        }
+    }
+
+    /** The store was restored: a claim in progress is void, and the controller may hold its lease for a while. */
+    fun onNewEra() {
+        if (leading) return
+        lease.drop()
+        claims.pause(lease.ttlMs)
+    }
+
+    /** The mirror was loaded from a restored store, with [item] at the controller key. */
+    fun onRestored(item: StoreItem?) {
+        if (!leading) return
+        if (item != null && String(item.value) == lease.keyValue) {
+            lease.confirm()
+        } else {
+            endTerm("the store was restored without this term")
+        }
     }
 
     /** The controller key was removed at [revision]. */
@@ -54,79 +69,57 @@
         if (revision > electedRevision) endTerm("the controller key was removed from the store")
     }
 
-    /** The mirror holds no controller key; claims it, unless another process is faster. */
-    fun onNoLeader() {
-        if (!stopped && !leading) claims.schedule()
+    /**
+     * The mirror holds [item] at the controller key. Without one, claims it, unless another process is faster. One that
+     * names this process with a lease that it does not hold is removed.
+     */
+    fun onMirrored(item: StoreItem?) {
+        if (stopped || leading) return
+        if (item == null) {
+            claims.schedule()
+        } else if (String(item.value) != lease.keyValue) {
+            unheldKey.removeIfOwn(item)
+        }
     }
 
     /** Ends the term and the lease because this process stops. */
     fun stop() {
         stopped = true
-        val held = lease
+        val held = lease.lease
         endTerm("stopping")
-        held?.let { lease -> context.store.revokeLease(lease.id) { } }
+        held?.let { context.store.revokeLease(it.id) { } }
     }
 
     /** Ends the term when its lease may have expired; called periodically. */
     fun check() {
-        if (leading && context.clock.nowMs() >= validUntilMs) endTerm("the lease was not renewed in time")
+        if (leading && !lease.valid) endTerm("the lease was not renewed in time")
     }
 
-    private fun grantAndClaim() {
+    private fun claim() {
         if (stopped) return
-        val requestedAtMs = context.clock.nowMs()
-        context.store.grantLease(ttlMs) { result ->
-            result
-                .onSuccess { claim(it, requestedAtMs) }
-                .onFailure { claims.onFailed() }
-        }
-    }
-
-    private fun claim(
-        granted: StoreLease,
-        requestedAtMs: Long,
-    ) {
-        lease = granted
-        validUntilMs = requestedAtMs + granted.ttlMs - LEASE_SAFETY_MARGIN_MS
-        val put = StoreTransaction.Put(CONTROLLER_KEY, granted.controllerValue(context).toByteArray(), granted.id)
-        context.store.commit(StoreTransaction(mapOf(CONTROLLER_KEY to 0L), listOf(put))) { result ->
+        lease.claim { result ->
             result
-                .onSuccess { revision ->
+                .onSuccess {
                     claims.onSucceeded()
-                    beginTerm(granted, revision)
-                }.onFailure {
-                    claims.onFailed()
-                    if (it is StoreError.Conflict) lease = null
-                }
+                    beginTerm(it)
+                }.onFailure { claims.onFailed() }
         }
     }
 
-    private fun beginTerm(
-        held: StoreLease,
-        revision: Long,
-    ) {
+    private fun beginTerm(position: StorePosition) {
+        val held = lease.lease ?: return
         if (stopped) context.store.revokeLease(held.id) { }
         if (leading || stopped) return
         leading = true
-        electedRevision = revision
-        context.events.log("leadership.taken", "revision" to revision, "lease" to held.id)
-        listener.onLeadershipAcquired(revision)
-        context.scheduler.after(LEASE_RENEW_INTERVAL_MS) { renew(held) }
-    }
-
-    private fun renew(held: StoreLease) {
-        if (lease != held || !leading) return
-        val requestedAtMs = context.clock.nowMs()
-        context.store.renewLease(held.id) { result ->
-            result
-                .onSuccess { validUntilMs = requestedAtMs + held.ttlMs - LEASE_SAFETY_MARGIN_MS }
-                .onFailure { if (it is StoreError.NoSuchLease) endTerm("the lease has expired") }
-        }
-        context.scheduler.after(LEASE_RENEW_INTERVAL_MS) { renew(held) }
+        electedRevision = position.revision
+        lease.confirm()
+        context.events.log("leadership.taken", "position" to position, "lease" to held.id)
+        listener.onLeadershipAcquired(position)
+        lease.keep { endTerm("the lease has expired") }
     }
 
     private fun endTerm(cause: String) {
-        lease = null
+        lease.drop()
         if (!leading) return
         leading = false
         context.events.log("leadership.lost", "cause" to cause)
@@ -139,15 +132,27 @@
 
         /** The name of the process that wrote [item], the item at [CONTROLLER_KEY]. */
         fun holderOf(item: StoreItem): String = String(item.value).substringBefore(' ')
-
-        /** Short, since replicas that lose a member after the controller failed stay down until the lease expires. */
-        private const val LEASE_TTL_MS = 2_000L
-        private const val LEASE_RENEW_INTERVAL_MS = 600L
-
-        /** The term ends this much before the lease, since orders in flight at its end arrive within this time. */
-        private const val LEASE_SAFETY_MARGIN_MS = 300L
     }
 }
 
-/** The value of the controller key while this process holds it with this lease. */
-private fun StoreLease.controllerValue(context: ControlContext) = "${context.settings.processName} $id"
+/**
+ * Removes the controller key when it names this process with a lease that it does not hold: it was written late, after
+ * its claim was given up, or before a restart. Bound to a lease of another process, it would keep all others from
+ * leading.
+ */
+private class UnheldControllerKey(
+    private val context: ControlContext,
+) {
+    private var removing = false
+
+    fun removeIfOwn(item: StoreItem) {
+        if (removing || Leadership.holderOf(item) != context.settings.processName) return
+        removing = true
+        val key = Leadership.CONTROLLER_KEY
+        val removal = StoreTransaction(mapOf(key to item.revision), puts = emptyList(), removes = listOf(key))
+        context.store.commit(removal) { result ->
+            removing = false
+            context.events.log("leadership.unheld", "revision" to item.revision, "removed" to result.isOk)
+        }
+    }
+}
--- a/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
@@ -8,6 +8,7 @@
 import auburnhall.core.Settings
 import auburnhall.core.StoreError
 import auburnhall.core.StoreItem
+import auburnhall.core.StorePosition
 import auburnhall.test.FakeKeyValueStore
 import auburnhall.test.FakeScheduler
 import auburnhall.test.RecordingListener
@@ -156,8 +157,8 @@
         val elected = ArrayList<Long>()
         var lostCount = 0
 
-        override fun onLeadershipAcquired(revision: Long) {
-            elected.add(revision)
+        override fun onLeadershipAcquired(position: StorePosition) {
+            elected.add(position.revision)
         }
 
         override fun onLeadershipLost() {
@@ -186,7 +187,7 @@
         processes: List<Leadership>,
         times: Int,
     ) = repeat(times) {
-        processes.forEach { it.onNoLeader() }
+        processes.forEach { it.onMirrored(null) }
         time.advance(100)
     }
 
@@ -198,7 +199,7 @@
         val processes =
             List(100) { Leadership(context("p$it", seed = it), RecordingLeadershipListener(), election) }
         repeat(10) {
-            if (election.vacant) processes.forEach { it.onNoLeader() }
+            if (election.vacant) processes.forEach { it.onMirrored(null) }
             time.advance(100)
         }
         assertEquals(1, processes.count { it.isLeading })
@@ -214,7 +215,7 @@
     fun `a controller that cannot renew its lease stops leading before the lease can expire`() {
         val listener = RecordingLeadershipListener()
         val leadership = Leadership(context(), listener, KnownElection(1))
-        leadership.onNoLeader()
+        leadership.onMirrored(null)
         time.advance(500)
         assertTrue(leadership.isLeading)
         store.outage = StoreError.TurnedAway(503)
@@ -229,7 +230,7 @@
         val listener = RecordingLeadershipListener()
         val leadership = Leadership(context(), listener, KnownElection(1))
         store.dropsResponses = true
-        leadership.onNoLeader()
+        leadership.onMirrored(null)
         time.advance(300)
         assertFalse(leadership.isLeading)
         store.dropsResponses = false
