Keep prompt parts quarantined when the store is restored, and write them again (CONFIG)

What would be seen: requests that crash workers run again after a restore. Cause: a record that the copy lacks looked like one that an operator had removed. Change: in a new era nothing counts as stored, so nothing counts as removed, and the controller writes what is missing. Evidence: RestoredStoreTest: all of three processes released the part before, none does now, and the record is in the store again.

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -77,6 +77,7 @@
         context.store.onNewEra = {
             context.events.log("store.restored", "era" to context.store.era, "mirrored" to mirror.position)
             leadership.onNewEra()
+            quarantine.onNewEra()
             registration.start()
             mirror.onNewEra()
         }
--- a/entry/src/main/kotlin/auburnhall/entry/QuarantineRecords.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/QuarantineRecords.kt
@@ -71,6 +71,15 @@
         listener.onQuarantined(QuarantinedPart(part, record.crashes, sinceMs, untilMs, record.servedBefore))
     }
 
+    /**
+     * The store was restored. Records that the copy lacks were not removed by an operator: their parts stay
+     * quarantined, and the records are written again.
+     */
+    fun onNewEra() {
+        stored.clear()
+        nextWriteAtMs = 0
+    }
+
     /** The item at [key], below [KEY_PREFIX], was removed. */
     fun onRemoved(key: String) {
         val part = PromptPart(key.removePrefix(KEY_PREFIX))
