Do not use workers and processes as an older copy of the store describes them (CONFIG)

What would be seen: requests to workers that had said they were leaving, or had left; requests to the head of a replica as it was some seconds ago; a process that is gone and stays in the list of processes for good.

Cause: what a restored store holds was taken for the present state. A registration that was removed while the store was away was never removed here.

Change: an entry that is read from a restored store is ignored if a later one of the same worker is known, or was until the worker left within the last minute: entries count their writes, and tell the start of their worker. New writes are always taken. Removed registrations of processes take effect after a grace period, like those of workers (PeerRegistry).

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -14,6 +14,7 @@
 import auburnhall.core.StorePosition
 import auburnhall.core.log
 import auburnhall.platform.WorkerClient
+import auburnhall.platform.WorkerEntryCodec
 import auburnhall.replica.ControllerTerm
 import auburnhall.replica.ReplicaListener
 import kotlin.random.Random
@@ -107,6 +108,9 @@
         }
     }
 
+    override fun onRestored(item: StoreItem) =
+        if (item.key.startsWith(WorkerEntryCodec.KEY_PREFIX)) view.onRestored(item) else onPut(item)
+
     override fun onRemoved(
         key: String,
         revision: Long,
--- a/entry/src/main/kotlin/auburnhall/entry/StoreView.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreView.kt
@@ -32,17 +32,16 @@
 
 /** Keeps the state decoded from the latest items. Control thread only. */
 class StoreView(
-    private val processName: String,
+    processName: String,
     private val events: EventListener,
     private val listener: ViewListener,
     clock: Clock,
     /** Whether leases may have expired because the store was unavailable. */
-    private val storeWasUnavailable: () -> Boolean,
+    storeWasUnavailable: () -> Boolean,
 ) {
     private val registry = WorkerRegistry(clock, events, storeWasUnavailable)
     private val trackers = HashMap<String, ReplicaTracker>()
-    private val processes = HashMap<String, PeerProcess>()
-    private var peersChanged = false
+    private val processes = PeerRegistry(processName, clock, storeWasUnavailable)
     private var revision = 0L
 
     /** The newest valid configuration; null until one was read. */
@@ -50,7 +49,7 @@
         private set
 
     /** The other processes, by name. */
-    val peers: Map<String, PeerProcess> get() = processes
+    val peers: Map<String, PeerProcess> get() = processes.peers
 
     /** The workers as last published. */
     var fleet: Fleet = Fleet.EMPTY
@@ -64,24 +63,26 @@
         when {
             item.key == ConfigurationCodec.KEY -> onConfiguration(item)
             item.key.startsWith(WorkerEntryCodec.KEY_PREFIX) -> registry.onPut(item)
-            item.key.startsWith(ProcessRegistration.KEY_PREFIX) -> addPeer(item)
+            item.key.startsWith(ProcessRegistration.KEY_PREFIX) -> processes.onPut(item)
         }
     }
 
+    /** The entry [item] of a worker was read from a restored store; it takes effect at the next [publish]. */
+    fun onRestored(item: StoreItem) = registry.onRestored(item)
+
     /** The item at [key] was removed; takes effect at the next [publish]. A removed configuration is kept. */
     fun onRemoved(key: String) {
         when {
             key == ConfigurationCodec.KEY -> events.log("configuration.removed", "kept" to configuration?.version)
             key.startsWith(WorkerEntryCodec.KEY_PREFIX) -> registry.onRemoved(key)
-            key.startsWith(ProcessRegistration.KEY_PREFIX) -> dropPeer(key.removePrefix(ProcessRegistration.KEY_PREFIX))
+            key.startsWith(ProcessRegistration.KEY_PREFIX) -> processes.onRemoved(key)
         }
     }
 
     /** Passes the state, complete up to the revision [at], to the listener. */
     fun publish(at: Long = revision) {
         revision = at
-        if (peersChanged) listener.onPeers(HashMap(processes))
-        peersChanged = false
+        if (processes.takeChanged()) listener.onPeers(HashMap(peers))
         fleet = registry.fleet(revision)
         val current = configuration ?: return
         val engines = current.services.values.mapNotNull { service -> service.engine?.let { service.name to it } }
@@ -89,9 +90,11 @@
         listener.onState(current, fleet, open)
     }
 
-    /** Removes workers that did not register again in time after their leases expired; called periodically. */
+    /** Removes workers and processes that did not register again in time; called periodically. */
     fun expire() {
-        if (registry.expire()) publish()
+        val workersExpired = registry.expire()
+        val processesExpired = processes.expire()
+        if (workersExpired || processesExpired) publish()
     }
 
     private fun onConfiguration(item: StoreItem) {
@@ -115,16 +118,4 @@
             "before" to current,
         )
     }
-
-    private fun addPeer(item: StoreItem) {
-        val name = item.key.removePrefix(ProcessRegistration.KEY_PREFIX)
-        if (name == processName) return
-        val process = PeerProcess.decode(item.value)
-        peersChanged = processes.put(name, process) != process || peersChanged
-    }
-
-    private fun dropPeer(name: String) {
-        val removed = !storeWasUnavailable() && processes.remove(name) != null
-        peersChanged = removed || peersChanged
-    }
 }
--- a/entry/src/main/kotlin/auburnhall/entry/WorkerRegistry.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/WorkerRegistry.kt
@@ -1,6 +1,7 @@
 /*
  * The workers that are registered in the store. Leases also expire because the store is unavailable; live workers then
- * register again shortly after it is available, so a removal in that time takes effect only after a grace period.
+ * register again shortly after it is available, so a removal in that time takes effect only after a grace period. A
+ * restored store holds older entries: those of workers that have since written others, or have left, are not used.
  */
 package auburnhall.entry
 
@@ -8,9 +9,10 @@
 import auburnhall.core.EventListener
 import auburnhall.core.Fleet
 import auburnhall.core.StoreItem
-import auburnhall.core.Worker
 import auburnhall.core.log
+import auburnhall.platform.WorkerEntry
 import auburnhall.platform.WorkerEntryCodec
+import com.github.michaelbull.result.get
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 
@@ -21,7 +23,8 @@
     /** Whether leases may have expired because the store was unavailable. */
     private val storeWasUnavailable: () -> Boolean,
 ) {
-    private val workers = HashMap<String, Worker>()
+    private val entries = HashMap<String, WorkerEntry>()
+    private val gone = HashMap<String, GoneEntry>()
     private val removeAtMs = HashMap<String, Long>()
 
     /** An entry was written; a worker whose entry cannot be decoded is removed. */
@@ -29,16 +32,35 @@
         removeAtMs.remove(item.key)
         WorkerEntryCodec
             .decode(item.key, item.value)
-            .onSuccess { workers[item.key] = it }
+            .onSuccess { entries[item.key] = it }
             .onFailure {
-                workers.remove(item.key)
+                entries.remove(item.key)
                 events.log("worker.entry_ignored", "key" to item.key, "revision" to item.revision, "cause" to it)
             }
     }
 
+    /** An entry was read from a restored store; ignored if a later one of the same worker is or was known. */
+    fun onRestored(item: StoreItem) {
+        val held = entries[item.key]
+        val left = gone[item.key]?.entry
+        val read = WorkerEntryCodec.decode(item.key, item.value).get()
+        val older = read != null && held != null && read.isBefore(held)
+        val returned = read != null && held == null && left != null && !left.isBefore(read)
+        if (older || returned) {
+            events.log(
+                "worker.older_ignored",
+                "key" to item.key,
+                "write" to read?.write,
+                "held" to (held ?: left)?.write,
+            )
+        } else {
+            onPut(item)
+        }
+    }
+
     /** An entry was removed; takes effect after [REGISTRATION_GRACE_MS] when the store was unavailable. */
     fun onRemoved(key: String) {
-        if (key !in workers) return
+        if (key !in entries) return
         if (storeWasUnavailable()) {
             removeAtMs[key] = clock.nowMs() + REGISTRATION_GRACE_MS
         } else {
@@ -51,19 +73,30 @@
         val now = clock.nowMs()
         val due = removeAtMs.filterValues { it <= now }.keys.toList()
         due.forEach(::remove)
+        gone.values.removeIf { it.forgetAtMs <= now }
         return due.isNotEmpty()
     }
 
     /** The workers, as a snapshot at the store's [revision]. */
-    fun fleet(revision: Long): Fleet = Fleet(revision, workers.values.toList())
+    fun fleet(revision: Long): Fleet = Fleet(revision, entries.values.map { it.worker })
 
     private fun remove(key: String) {
         removeAtMs.remove(key)
-        workers.remove(key)?.let { events.log("worker.removed", "worker" to it.id, "service" to it.service) }
+        val entry = entries.remove(key) ?: return
+        gone[key] = GoneEntry(entry, clock.nowMs() + GONE_MEMORY_MS)
+        events.log("worker.removed", "worker" to entry.worker.id, "service" to entry.worker.service)
     }
 
+    private data class GoneEntry(
+        val entry: WorkerEntry,
+        val forgetAtMs: Long,
+    )
+
     private companion object {
         /** Live workers have registered again about two seconds after the store is available. */
         const val REGISTRATION_GRACE_MS = 2_500L
+
+        /** Several times the age of a copy from which the store is restored. */
+        const val GONE_MEMORY_MS = 60_000L
     }
 }
--- a/entry/src/test/kotlin/auburnhall/entry/RestoredStoreTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/RestoredStoreTest.kt
@@ -117,6 +117,7 @@
                 assertEquals(emptyList<String>(), fleet.staleProcesses(), "seed $seed")
                 assertEquals(1, fleet.live.count { it.leading }, "controllers, seed $seed")
                 assertEquals(fleet.live.map { it.name }.toSet(), fleet.registered(), "seed $seed")
+                assertEquals(emptyList<String>(), fleet.processesThatMissPeers(), "seed $seed")
             }
         }
 
--- a/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
@@ -132,6 +132,12 @@
     fun processesThatUse(index: Int): List<String> =
         live.filter { it.fleet.workers[workers[index].id]?.draining == false }.map { it.name }
 
+    /** Names of the live processes that know fewer or more processes than there are. */
+    fun processesThatMissPeers(): List<String> {
+        val names = live.map { it.name }.toSet()
+        return live.filter { it.peers.keys != names - it.name }.map { it.name }
+    }
+
     /** Names of the registered processes, by the store. */
     fun registered(): Set<String> =
         store
