--- a/review/src/Entry.java
+++ b/review/src/Entry.java
@@ -43,10 +43,11 @@
         STARTED.add(process);
     }
 
-    /** Waits until the process says that it is ready; false if it does not within a minute. */
+    /** Waits until the process says that it is ready; false if it does not. */
     boolean awaitReady() throws Exception {
-        for (int i = 0; i < 600 && process.isAlive(); i++) {
+        for (int i = 0; i < 200 && process.isAlive(); i++) {
             try (Client client = new Client(host, ready, 0)) {
+                client.socket.setSoTimeout(1_000);
                 client.send("GET /auburnhall/readiness HTTP/1.1\r\nHost: x\r\n\r\n", new byte[0]);
                 if (client.read().status() == 200) return true;
             } catch (java.io.IOException e) {
@@ -54,6 +55,9 @@
             }
             Thread.sleep(100);
         }
+        System.out.println(name + (process.isAlive() ? " runs" : " ended with status " + process.exitValue()) + "; the end of its log:");
+        List<String> lines = Files.readAllLines(log);
+        lines.subList(Math.max(0, lines.size() - 5), lines.size()).forEach(System.out::println);
         return false;
     }
 
