--- a/review/src/Entry.java
+++ b/review/src/Entry.java
@@ -12,7 +12,22 @@
     private static final List<Process> STARTED = new ArrayList<>();
 
     static {
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> STARTED.forEach(Process::destroyForcibly)));
+        Runtime.getRuntime().addShutdownHook(new Thread(Entry::end));
+    }
+
+    private static volatile Path folder;
+
+    /** Ends all processes that were started, and removes their folder. */
+    private static void end() {
+        STARTED.forEach(Process::destroyForcibly);
+        try {
+            for (Process process : STARTED) process.waitFor(5, TimeUnit.SECONDS);
+            java.io.File[] files = folder == null ? null : folder.toFile().listFiles();
+            if (files != null) for (java.io.File file : files) file.delete();
+            if (folder != null) folder.toFile().delete();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     final String name;
@@ -25,6 +40,7 @@
 
     Entry(String name, int number, int storePort, int internalPort, Path folder) throws Exception {
         this.name = name;
+        Entry.folder = folder;
         host = host(number);
         front = freePort(host);
         ready = freePort(host);
