--- /dev/null
+++ b/entry/src/main/kotlin/auburnhall/entry/ConnectionObserver.kt
@@ -0,0 +1,44 @@
+/*
+ * Logs and counts what happens on connections apart from their requests: bytes of workers that belong to no response
+ * that was awaited, and callers' connections that were closed with something unsent or unanswered.
+ */
+package auburnhall.entry
+
+import auburnhall.core.EventListener
+import auburnhall.core.log
+import auburnhall.http.CutConnection
+import auburnhall.http.HttpClient
+import auburnhall.http.HttpServer
+import auburnhall.http.StrayBytes
+
+/** Reports to [listener] and [metrics]. Traffic thread only. */
+internal class ConnectionObserver(
+    private val listener: EventListener,
+    private val metrics: EntryMetrics,
+) {
+    /** Observes the connections of [callers] and those of [client] to workers. */
+    fun observe(
+        callers: HttpServer,
+        client: HttpClient,
+    ) {
+        callers.onCut = ::onCut
+        client.onStrayBytes = ::onStrayBytes
+    }
+
+    private fun onCut(cut: CutConnection) {
+        metrics.onConnectionCut(cut.reason)
+        listener.log(
+            "caller.connection_cut",
+            "peer" to cut.peer,
+            "reason" to cut.reason,
+            "unsent_bytes" to cut.unsentBytes,
+            "unanswered_requests" to cut.unansweredRequests,
+            "cause" to cut.cause,
+        )
+    }
+
+    private fun onStrayBytes(stray: StrayBytes) {
+        metrics.onStrayBytes(stray.kind)
+        listener.log("worker.stray_bytes", "peer" to stray.peer, "kind" to stray.kind, "calls" to stray.calls)
+    }
+}
--- a/entry/src/main/kotlin/auburnhall/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryMetrics.kt
@@ -5,6 +5,8 @@
 
 import auburnhall.core.Clock
 import auburnhall.gateway.GatewayMetrics
+import auburnhall.http.CloseReason
+import auburnhall.http.StrayKind
 import auburnhall.routing.QuarantinedPart
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
@@ -29,6 +31,20 @@
             .help("Retries of requests, by reason.")
             .labelNames("reason")
             .register(registry)
+    private val strayBytes =
+        Counter
+            .builder()
+            .name("auburnhall_worker_stray_bytes_total")
+            .help("Times at which bytes of workers belonged to no response that was awaited, by kind.")
+            .labelNames("kind")
+            .register(registry)
+    private val cutConnections =
+        Counter
+            .builder()
+            .name("auburnhall_caller_connections_cut_total")
+            .help("Connections of callers closed with bytes unsent or requests unanswered, by reason.")
+            .labelNames("reason")
+            .register(registry)
     private val latency =
         Histogram
             .builder()
@@ -50,6 +66,12 @@
 
     override fun onRetry(reason: String) = retries.labelValues(reason).inc()
 
+    /** Bytes of a worker belonged to no response that was awaited. */
+    fun onStrayBytes(kind: StrayKind) = strayBytes.labelValues(kind.name.lowercase()).inc()
+
+    /** A caller's connection was closed with bytes unsent or requests unanswered. */
+    fun onConnectionCut(reason: CloseReason) = cutConnections.labelValues(reason.name.lowercase()).inc()
+
     /** Registers a gauge; [value] is called at each scrape. */
     fun gauge(
         name: String,
--- a/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
@@ -126,6 +126,8 @@
     "step" to failure.step,
     "peer" to failure.peer,
     "cause" to failure.cause,
+    "earlier_calls" to failure.earlierCalls,
+    "dropped_responses" to failure.droppedResponses,
     "after_ms" to attempt.ageMs,
     "events" to attempt.eventCount,
     "framing" to attempt.framing,
--- a/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
@@ -66,7 +66,7 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        ctx.close()
+        queue.close(CloseReason.ERROR, cause)
     }
 
     override fun channelRead(
@@ -95,7 +95,7 @@
         if (queue.current == null && !queue.refusing) {
             when (timeouts.expired(requestTimeoutAtMs)) {
                 ExpiredTimeout.NONE -> Unit
-                ExpiredTimeout.IDLE -> context.close()
+                ExpiredTimeout.IDLE -> queue.close(CloseReason.IDLE)
                 ExpiredTimeout.REQUEST -> queue.refuse(HttpResponseStatus.REQUEST_TIMEOUT)
             }
         }
--- a/http/src/main/kotlin/auburnhall/http/CallerResponseWriter.kt
+++ b/http/src/main/kotlin/auburnhall/http/CallerResponseWriter.kt
@@ -80,7 +80,7 @@
         if (ended) return
         end()
         context.channel().config().setOption(ChannelOption.SO_LINGER, 0)
-        context.close()
+        queue.close(CloseReason.RESPONSE_ABORTED)
         queue.onResponseEnded(keepAlive = false, written = null)
     }
 
@@ -100,7 +100,7 @@
         closeAfterwards = closeAfterwards || queue.endsAfterResponse
         if (!closeAfterwards) return
         headers.set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        queue.stopReceiving()
+        queue.receiver.close()
     }
 
     private fun complete(message: Any): ChannelFuture {
--- a/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
@@ -38,6 +38,9 @@
     private var idleLimitMs = Long.MAX_VALUE
     private var error: Throwable? = null
 
+    /** Number of calls that were begun on this connection. */
+    private var calls = 0
+
     /** Whether the peer has ended its side of the connection in an orderly way. */
     private var endedByPeer = false
     private val carried = ArrayDeque<String>()
@@ -71,6 +74,7 @@
     ): OutboundCall {
         val started = ActiveCall(request, listener)
         call = started
+        calls++
         request.correlation?.let { remember(it.value) }
         val message =
             DefaultFullHttpRequest(
@@ -109,12 +113,17 @@
         if (call !== failed) return
         call = null
         context.close()
-        failed.listener.onFailure(CallFailure(failed.step, peer, cause, closedByPeer))
+        val failure = CallFailure(failed.step, peer, cause, closedByPeer, calls - 1, failed.droppedResponses)
+        failed.listener.onFailure(failure)
     }
 
+    private fun reportStray(kind: StrayKind) = client.onStrayBytes(StrayBytes(peer, kind, calls))
+
     private fun complete(finished: ActiveCall) {
         call = null
-        val reusable = finished.keepAlive && finished.written && error == null && !decoder.hasUndecodedBytes
+        val surplus = decoder.hasUndecodedBytes
+        if (surplus) reportStray(StrayKind.BEHIND_RESPONSE)
+        val reusable = finished.keepAlive && finished.written && error == null && !surplus
         if (reusable) {
             context.channel().config().isAutoRead = true
             idleSinceMs = clock.nowMs()
@@ -135,6 +144,7 @@
                 ctx.fireChannelRead(message)
             } else {
                 ReferenceCountUtil.release(message)
+                if (ctx.channel().isActive) reportStray(StrayKind.IDLE)
                 ctx.close()
             }
         }
@@ -211,6 +221,7 @@
         var written = false
         private var dropping = false
         private val dropped = DroppedResponses()
+        val droppedResponses: Int get() = dropped.heads
 
         override fun setReading(reading: Boolean) {
             if (call === this) context.channel().config().isAutoRead = reading
@@ -240,7 +251,10 @@
                 interim -> drop()
                 owns(response) -> accept(response)
                 correlation?.header !in response.headers() -> fail(this, "response without ${correlation?.header}")
-                else -> drop()
+                else -> {
+                    reportStray(StrayKind.LATE_RESPONSE)
+                    drop()
+                }
             }
         }
 
--- a/http/src/main/kotlin/auburnhall/http/DroppedResponses.kt
+++ b/http/src/main/kotlin/auburnhall/http/DroppedResponses.kt
@@ -6,7 +6,9 @@
 
 /** What was dropped during one call; its functions return what exceeds a limit, null while nothing does. */
 internal class DroppedResponses {
-    private var heads = 0
+    /** Number of responses that were dropped. */
+    var heads = 0
+        private set
     private var bytes = 0
 
     /** The head of a response is dropped. */
--- a/http/src/main/kotlin/auburnhall/http/HttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpClient.kt
@@ -21,6 +21,9 @@
 ) {
     private val idle = HashMap<Address, ArrayDeque<ClientConnection>>()
 
+    /** Called when bytes arrive that belong to no response that was awaited. */
+    var onStrayBytes: (StrayBytes) -> Unit = { }
+
     /** Number of open connections to all peers, in use or idle. */
     var openConnections = 0
         private set
--- a/http/src/main/kotlin/auburnhall/http/HttpServer.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpServer.kt
@@ -34,6 +34,9 @@
     /** Called when a request is refused because the bodies of all requests take too much memory. */
     var onMemoryRefusal: (MemoryRefusal) -> Unit = { }
 
+    /** Called when a connection is closed with bytes unsent or requests unanswered. */
+    var onCut: (CutConnection) -> Unit = { }
+
     /** Whether responses ask callers to close their connections; set when the process stops. */
     @Volatile
     var draining = false
--- a/http/src/main/kotlin/auburnhall/http/OutboundCall.kt
+++ b/http/src/main/kotlin/auburnhall/http/OutboundCall.kt
@@ -41,6 +41,10 @@
     val cause: String,
     /** Whether the peer closed or reset the connection, as a process that ends does. */
     val closedByPeer: Boolean = false,
+    /** Calls that its connection had carried before; 0 on a new one. */
+    val earlierCalls: Int = 0,
+    /** Interim and late responses that were dropped while it was in progress. */
+    val droppedResponses: Int = 0,
 ) {
     /** Whether any byte of the request may have reached the peer. */
     val sent: Boolean get() = step != CallStep.CONNECT
--- a/http/src/main/kotlin/auburnhall/http/RequestQueue.kt
+++ b/http/src/main/kotlin/auburnhall/http/RequestQueue.kt
@@ -87,9 +87,6 @@
         serveNext()
     }
 
-    /** What the caller sends from now on is not used, since the response says that the connection ends with it. */
-    fun stopReceiving() = receiver.close()
-
     /**
      * The current response has ended and was handed over as [written], null if it was aborted; the next request is
      * served if the connection goes on with [keepAlive].
@@ -104,6 +101,21 @@
         if (keepAlive) serveNext()
     }
 
+    /** Closes the connection because of [reason] and [cause], and reports what is lost by it. */
+    fun close(
+        reason: CloseReason,
+        cause: Throwable? = null,
+    ) {
+        val channel = context.channel()
+        val unsent = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
+        val unanswered = queued.count { it is AggregationResult.Complete } + if (current == null) 0 else 1
+        if (unsent > 0 || unanswered > 0) {
+            val peer = channel.remoteAddress()?.toString().orEmpty()
+            server.onCut(CutConnection(peer, reason, unsent, unanswered, cause?.let(::describe)))
+        }
+        context.close()
+    }
+
     private fun awaitSent(
         written: ChannelFuture,
         keepAlive: Boolean,
--- a/http/src/test/kotlin/auburnhall/http/WorkerCalls.kt
+++ b/http/src/test/kotlin/auburnhall/http/WorkerCalls.kt
@@ -13,6 +13,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CompletableFuture
+import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.TimeUnit
 import kotlin.concurrent.thread
 
@@ -27,8 +28,10 @@
 class WorkerCalls(
     private val timeoutMs: Int,
 ) : AutoCloseable {
+    /** Kinds of the bytes that the worker sent beside its responses. */
+    val strays = CopyOnWriteArrayList<StrayKind>()
     private val loop = newEventLoop("client")
-    private val client = HttpClient(loop, Clock.SYSTEM)
+    private val client = HttpClient(loop, Clock.SYSTEM).also { it.onStrayBytes = { stray -> strays.add(stray.kind) } }
     private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val address = Address("127.0.0.1", listener.localPort)
 
