Keep a request at its silent replica until a retry can be sent (LOST)

Callers saw a stream cut, or a 502, about 0.4 s into a silence of its replica, though the worker went on later. Cause: once the replica counted as lost, the attempt was cancelled first, and only then the retry budget was asked and a target looked for; without either, the request ended, and a retry was taken out of the budget although nothing was sent.

Now the attempt is cancelled only when another target takes the request and the budget allows it; until then it goes on and is checked again every 40 ms, so that a stream whose replica is really lost is still resumed as soon as both are there. It is not moved when a part of its prompt is quarantined either. Ruled out: to wait without the first attempt, which loses what it may still send.

--- a/gateway/src/main/kotlin/auburnhall/gateway/CrashPrevention.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/CrashPrevention.kt
@@ -15,6 +15,9 @@
 ) {
     private val parts = accepted.metadata.sharedParts
 
+    /** Whether the request must not be sent. */
+    val isQuarantined: Boolean get() = context.parts.find(parts) != null
+
     /** Why the request must not be sent; null if it may be. */
     fun refusal(): Admission.Refuse? {
         val part = context.parts.find(parts) ?: return null
--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -8,7 +8,6 @@
 import auburnhall.routing.Admission
 import auburnhall.routing.AdmissionPolicy
 import auburnhall.routing.Choice
-import auburnhall.routing.Liveness
 import auburnhall.routing.QueueState
 import auburnhall.routing.Target
 
@@ -26,6 +25,7 @@
     /** Ends the request without a response from a worker. */
     internal val end = RequestEnd(state)
     private val outcomes = AttemptOutcomeHandler(context, state, this, end)
+    private val supervision = ReplicaSupervision(context, state, this)
 
     /** The targets that can serve the request. */
     val pool = TargetPool(accepted.service, accepted.metadata.model)
@@ -63,27 +63,8 @@
         return refusal != null || decide() !is Admission.Wait
     }
 
-    /**
-     * Suspects the replica of the current attempt if it has sent nothing for too long, unless its response is not read
-     * because the caller does not keep up. Once the replica counts as lost, retries the request at another target if
-     * the request may be repeated and there is such a target. Returns when to check again, in milliseconds of the
-     * monotonic clock.
-     */
-    fun checkReplica(): Long {
-        val current = state.attempt?.takeIf { response.writable } ?: return Long.MAX_VALUE
-        val key = current.target.key
-        val liveness = context.failureDetector.liveness(key, current.lastProgressAtMs, current.hasEvents)
-        if (liveness != Liveness.ALIVE && !context.health.isSuspect(key)) suspect(current)
-        val lost = liveness == Liveness.LOST || context.health.isLost(key)
-        if (lost && state.mayRepeat && state.hasAlternative()) {
-            current.cancel()
-            state.detach(current)
-            state.mayHaveExecuted = true
-            if (!tryRetry("silent")) end.onError("replica is silent and retry budget is used up")
-        }
-        val changeAtMs = context.failureDetector.nextChangeAtMs(key, current.lastProgressAtMs, current.hasEvents)
-        return if (lost) context.clock.nowMs() + LOST_RECHECK_MS else changeAtMs
-    }
+    /** Checks the replica of the current attempt; returns when to check again, in milliseconds of the monotonic clock. */
+    fun checkReplica(): Long = supervision.check()
 
     /** Ends the request if a part of its prompt is quarantined, unless a target has begun to respond to it. */
     fun stopIfQuarantined() {
@@ -97,6 +78,13 @@
 
     /** Dispatches the request again if the retry budget allows it; returns false otherwise. */
     internal fun tryRetry(reason: String): Boolean {
+        val acquired = acquireRetry(reason)
+        if (acquired) dispatch()
+        return acquired
+    }
+
+    /** Takes a retry, which is then to be sent, out of the budget; returns false if there is none. */
+    internal fun acquireRetry(reason: String): Boolean {
         if (!context.budgets.of(accepted.service).tryAcquire()) return false
         context.metrics.onRetry(reason)
         context.listener.logRequest(
@@ -105,7 +93,6 @@
             "reason" to reason,
             "after_event" to callerResponse.lastEventId,
         )
-        dispatch()
         return true
     }
 
@@ -149,18 +136,7 @@
         if (!response.writable) attempt.setReading(false)
     }
 
-    private fun suspect(current: Attempt) {
-        val key = current.target.key
-        context.health.markSuspect(key)
-        context.suspicionListener.onSuspect(key)
-        val silentMs = context.clock.nowMs() - current.lastProgressAtMs
-        context.listener.logRequest("replica.suspected", accepted.id, "target" to key.text, "silent_ms" to silentMs)
-    }
-
     private companion object {
-        /** Time after which a request at a lost replica is tried again at another target, if it could not be before. */
-        const val LOST_RECHECK_MS = 40L
-
         /** Assumed time from sending a request with a short prompt to its first event. */
         const val FIRST_EVENT_DELAY_MS = 130L
     }
--- a/gateway/src/test/kotlin/auburnhall/gateway/ScriptedWorker.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/ScriptedWorker.kt
@@ -7,6 +7,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicLong
@@ -34,6 +35,13 @@
         val part: String,
     ) : Script
 
+    /** Send [head], and [rest] once [ready] is open. */
+    data class Stalled(
+        val head: String,
+        val ready: CountDownLatch,
+        val rest: String,
+    ) : Script
+
     /** Act by [resumed] if the request asks for the events after one, and by [first] otherwise. */
     data class Resumable(
         val first: Script,
@@ -104,6 +112,11 @@
             is Script.Chosen -> act(socket, script.choose(), resumed)
             is Script.Send -> write(socket, script.text)
             is Script.Endless -> writeEndlessly(socket, script)
+            is Script.Stalled -> {
+                write(socket, script.head)
+                script.ready.await()
+                runCatching { write(socket, script.rest) }
+            }
             is Script.NoResponse -> Unit
             is Script.Close -> {
                 write(socket, script.text)
