--- a/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
@@ -55,15 +55,14 @@
         if (attempt !== state.attempt) return
         val failed = head.status >= FIRST_SERVER_ERROR_STATUS
         context.health.onAnswer(attempt.target.key, failed)
-        val retry =
-            failed && context.health.hasHighErrorRate(attempt.target.key) && state.mayRepeat && !response.streaming
+        if (response.streaming) return onNotResumed(attempt, head)
+        val retry = failed && context.health.hasHighErrorRate(attempt.target.key) && state.mayRepeat
         if (retry) {
             state.mayHaveExecuted = true
             state.detach(attempt)
+            attempt.buffer.release()
         }
-        if (retry || response.streaming) attempt.buffer.release()
         when {
-            response.streaming -> end.onError("worker refused to resume the stream with status ${head.status}")
             retry && request.tryRetry("worker_${head.status}") -> Unit
             else -> {
                 state.end(if (failed) "worker_error" else "served", listOf("status" to head.status))
@@ -72,6 +71,18 @@
         }
     }
 
+    /** The worker was to resume a stream and sent another response, of which nothing may reach the caller. */
+    private fun onNotResumed(
+        attempt: Attempt,
+        head: WorkerResponseHead,
+    ) {
+        attempt.buffer.release()
+        state.detach(attempt)
+        state.mayHaveExecuted = true
+        val retried = state.mayRepeat && request.tryRetry("not_resumed_${head.status}")
+        if (!retried) end.onError("worker refused to resume the stream with status ${head.status}")
+    }
+
     override fun onNotExecuted(
         attempt: Attempt,
         head: WorkerResponseHead,
--- a/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
@@ -209,6 +209,7 @@
                     route("safe", "plain", RequestKind.IDEMPOTENT, 1),
                     route("unsafe", "plain", RequestKind.NON_IDEMPOTENT, 1),
                     route("stream", "model", RequestKind.STREAMING, 2),
+                    route("stream-3", "model", RequestKind.STREAMING, 3),
                 ),
                 listOf(Service("plain", 9, null), Service("model", 9, ENGINE)),
                 listOf(Customer("c", listOf("k"), null)),
