--- a/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
@@ -63,7 +63,7 @@
             attempt.buffer.release()
         }
         when {
-            retry && request.tryRetry("worker_${head.status}") -> Unit
+            retry && request.retries.tryNow("worker_${head.status}") -> Unit
             else -> {
                 state.end(if (failed) "worker_error" else "served", listOf("status" to head.status))
                 response.sendComplete(head.status, headers, body, attempt.buffer::release)
@@ -79,8 +79,8 @@
         attempt.buffer.release()
         state.detach(attempt)
         state.mayHaveExecuted = true
-        val retried = state.mayRepeat && request.tryRetry("not_resumed_${head.status}")
-        if (!retried) end.onError("worker refused to resume the stream with status ${head.status}")
+        val giveUp = { end.onError("worker refused to resume the stream with status ${head.status}") }
+        if (state.mayRepeat) request.retries.whenAllowed("not_resumed_${head.status}", giveUp) else giveUp()
     }
 
     override fun onNotExecuted(
@@ -94,8 +94,8 @@
         state.detach(attempt)
         state.onRejected()
         val reason = "not_run_${head.status}"
-        val retried = state.hasAttemptsLeft && request.tryRetry(reason)
-        if (!retried) end.onNoTarget(Admission.Refuse(reason, RequestEnd.RETRY_AFTER_MS))
+        val giveUp = { end.onNoTarget(Admission.Refuse(reason, RequestEnd.RETRY_AFTER_MS)) }
+        if (state.hasAttemptsLeft) request.retries.whenAllowed(reason, giveUp) else giveUp()
     }
 
     /** A worker that does not say why it rejects a request is avoided for a while. */
@@ -116,8 +116,9 @@
             if (giveUp) end.onError("could not connect to a target") else request.dispatch()
         } else {
             state.mayHaveExecuted = true
-            val mayRetry = state.crashes.mayRetryAfter(attempt, failure)
-            if (!mayRetry || !state.mayRepeat || !request.tryRetry("broken_off")) end.onError(failure.cause)
+            val giveUp = { end.onError(failure.cause) }
+            val mayRetry = state.crashes.mayRetryAfter(attempt, failure) && state.mayRepeat
+            if (mayRetry) request.retries.whenAllowed("broken_off", giveUp) else giveUp()
         }
     }
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -3,7 +3,6 @@
  */
 package auburnhall.gateway
 
-import auburnhall.core.logRequest
 import auburnhall.http.ResponseWriter
 import auburnhall.routing.Admission
 import auburnhall.routing.AdmissionPolicy
@@ -20,7 +19,10 @@
 ) {
     private val callerResponse = CallerResponse(context.clock, response, context.codecs.caller, accepted)
     private val state = RequestState(context, accepted, callerResponse) { inFlight.onEnded(this) }
-    private val resumeWait = ResumeWait(context, state) { dispatch() }
+    private val resumeWait = ResumeWait(context, state)
+
+    /** Sends the request again after an attempt has failed. */
+    internal val retries = Retries(context, state, resumeWait) { dispatch() }
 
     /** Ends the request without a response from a worker. */
     internal val end = RequestEnd(state)
@@ -76,26 +78,6 @@
         end.onNoTarget(refusal)
     }
 
-    /** Dispatches the request again if the retry budget allows it; returns false otherwise. */
-    internal fun tryRetry(reason: String): Boolean {
-        val acquired = acquireRetry(reason)
-        if (acquired) dispatch()
-        return acquired
-    }
-
-    /** Takes a retry, which is then to be sent, out of the budget; returns false if there is none. */
-    internal fun acquireRetry(reason: String): Boolean {
-        if (!context.budgets.of(accepted.service).tryAcquire()) return false
-        context.metrics.onRetry(reason)
-        context.listener.logRequest(
-            "request.retried",
-            accepted.id,
-            "reason" to reason,
-            "after_event" to callerResponse.lastEventId,
-        )
-        return true
-    }
-
     private fun decide(): Admission {
         val choice = context.router.choose(state.requirements(), state.targets(), context::waitMs)
         val admission =
@@ -114,7 +96,7 @@
         when (admission) {
             is Admission.Send -> send(admission.target)
             is Admission.Wait -> inFlight.enqueue(this)
-            is Admission.Refuse -> if (!resumeWait.begin()) end.onNoTarget(admission)
+            is Admission.Refuse -> if (!resumeWait.begin { dispatch() }) end.onNoTarget(admission)
         }
         return admission
     }
--- a/gateway/src/main/kotlin/auburnhall/gateway/ReplicaSupervision.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ReplicaSupervision.kt
@@ -49,7 +49,7 @@
     /** Sends the request to another target if one takes it now and the retry budget allows it; else [current] goes on. */
     private fun move(current: Attempt) {
         val target = alternative() ?: return
-        if (!request.acquireRetry("silent")) return
+        if (!request.retries.acquire("silent")) return
         current.cancel()
         state.detach(current)
         state.mayHaveExecuted = true
--- a/gateway/src/test/kotlin/auburnhall/gateway/ResumedStreamTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/ResumedStreamTest.kt
@@ -36,7 +36,38 @@
         assertFalse(text.endsWith(lastChunk))
     }
 
+    /** Calls a worker that breaks off after event 2 while the retry budget is used up; another one has the rest. */
+    private fun callWithoutBudget(onBroken: () -> Unit): String {
+        serve(worker(Script.Reset(stream(1, 2))))
+        loop.submit { while (context.budgets.of("model").tryAcquire()) Unit }.sync()
+        val response = CompletableFuture.supplyAsync { call("/stream/x") }
+        while (workers.single().requests.isEmpty()) Thread.onSpinWait()
+        serve(workers.single(), worker(Script.Send(stream(3) + lastChunk)))
+        TimeUnit.MILLISECONDS.sleep(APPEARANCE_MS)
+        loop.submit(onBroken).sync()
+        return response.join()
+    }
+
+    /** Guards against a stream that is cut because other requests have used up the retry budget for a moment. */
+    @Test
+    fun `a stream goes on at another worker once the retry budget allows it`() {
+        val text = callWithoutBudget { repeat(2) { context.budgets.of("model").onRequest() } }
+        assertEquals(listOf(1, 2, 3), eventIds(text))
+        assertTrue(text.endsWith(lastChunk))
+    }
+
+    @Test
+    fun `a stream is broken off soon and without another request when the retry budget stays used up`() {
+        val startedAtNs = System.nanoTime()
+        val text = callWithoutBudget { }
+        assertTrue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAtNs) < GIVEN_UP_MS)
+        assertEquals(listOf(1, 2), eventIds(text))
+        assertFalse(text.endsWith(lastChunk))
+        assertEquals(1, workers.sumOf { it.requests.size })
+    }
+
     private companion object {
+        const val GIVEN_UP_MS = 2_500L
         const val APPEARANCE_MS = 300L
     }
 }
