Do not move the check of a stream's end to a third worker (LOST)

Callers saw a stream cut that their worker had sent whole: one with neither length nor chunks, which ends with its connection. Another worker is then asked for the events after the last one, and where it is silent, the close counts as the end after 1 s. Cause: the replica asked counted as lost after 0.78 s, before that bound, and the check was moved to a third worker as a plain resumption, whose failure, or an empty retry budget, cut the stream.

Now a check stays where it is until its bound. Ruled out: that a check takes longer than before (the bound is unchanged), and that a stream cut inside an event counts as whole (BrokenAnswerTest).

--- a/gateway/src/main/kotlin/auburnhall/gateway/ReplicaSupervision.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ReplicaSupervision.kt
@@ -24,7 +24,8 @@
         val liveness = context.failureDetector.liveness(key, current.lastProgressAtMs, current.hasEvents)
         if (liveness != Liveness.ALIVE && !context.health.isSuspect(key)) suspect(current)
         val lost = liveness == Liveness.LOST || context.health.isLost(key)
-        if (lost && state.mayRepeat) move(current)
+        val movable = state.mayRepeat && !current.onlyChecksEnd
+        if (lost && movable) move(current)
         return if (lost) context.clock.nowMs() + LOST_RECHECK_MS else nextChangeAtMs(current, key)
     }
 
