--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -79,7 +79,7 @@
     }
 
     private fun decide(): Admission {
-        val choice = context.router.choose(state.requirements(), state.targets(), context::waitMs)
+        val choice = state.choose()
         val admission =
             if (choice is Choice.Full && state.mayHaveExecuted) {
                 Admission.Send(choice.target, choice.load)
--- a/gateway/src/main/kotlin/auburnhall/gateway/ReplicaSupervision.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ReplicaSupervision.kt
@@ -59,7 +59,7 @@
 
     private fun alternative(): Target? {
         if (state.crashes.isQuarantined || !state.hasAlternative()) return null
-        return when (val choice = context.router.choose(state.requirements(), state.targets(), context::waitMs)) {
+        return when (val choice = state.choose()) {
             is Choice.Send -> choice.target
             is Choice.Full -> choice.target
             is Choice.Limited, is Choice.None -> null
--- a/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
@@ -6,6 +6,7 @@
 import auburnhall.core.Event
 import auburnhall.core.ScheduledTask
 import auburnhall.core.logRequest
+import auburnhall.routing.Choice
 import auburnhall.routing.Target
 import auburnhall.routing.TargetKey
 import auburnhall.routing.TargetRequirements
@@ -52,8 +53,11 @@
             .of(accepted.service, accepted.metadata.model)
             .filterNot(context.notices::isLeaving)
 
-    /** What the request needs of its next target. */
-    fun requirements() = TargetRequirements(accepted.service, accepted.metadata.model, sentTo + unreachable)
+    /** Chooses the next target among those that the request was not sent to. */
+    fun choose(): Choice {
+        val requirements = TargetRequirements(accepted.service, accepted.metadata.model, sentTo + unreachable)
+        return context.router.choose(requirements, targets(), context::waitMs)
+    }
 
     /** Whether there is a target that the request was not sent to and that is not suspect. */
     fun hasAlternative(): Boolean =
--- a/gateway/src/main/kotlin/auburnhall/gateway/Retries.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Retries.kt
@@ -1,11 +1,13 @@
 /*
  * Retries of one request within the retry budget of its service. Answers the loss of a replica under load: its streams
  * break at the same moment and use up the budget, which other requests give back a little later. A stream under way
- * waits for that, since giving up would lose what its caller has received; other requests end at once.
+ * waits for that, since giving up would lose what its caller has received; other requests end at once. It takes no retry
+ * out of the budget before there is a target, so that those which find one are not held up.
  */
 package auburnhall.gateway
 
 import auburnhall.core.logRequest
+import auburnhall.routing.Choice
 
 /** Retries of the request of [state]; [dispatch] sends it again. Traffic thread only. */
 internal class Retries(
@@ -21,15 +23,21 @@
         return acquired
     }
 
-    /** As [tryNow], but a stream under way waits for the budget; [giveUp] is called if the request is not retried. */
+    /** As [tryNow], but a stream under way waits for a target and the budget; [giveUp] is called if it is not retried. */
     fun whenAllowed(
         reason: String,
         giveUp: () -> Unit,
     ) {
-        val retried = tryNow(reason) || wait.begin { whenAllowed(reason, giveUp) }
+        val retried = (canSend() && tryNow(reason)) || wait.begin { whenAllowed(reason, giveUp) }
         if (!retried) giveUp()
     }
 
+    private fun canSend(): Boolean {
+        if (!state.response.streaming) return true
+        val choice = state.choose()
+        return choice is Choice.Send || choice is Choice.Full
+    }
+
     /** Takes a retry, which is then to be sent, out of the budget; returns false if there is none. */
     fun acquire(reason: String): Boolean {
         if (!context.budgets.of(state.accepted.service).tryAcquire()) return false
--- a/gateway/src/main/kotlin/auburnhall/gateway/StreamCompletion.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/StreamCompletion.kt
@@ -38,8 +38,7 @@
     private fun targetOfCheck(): Target? {
         val possible = state.mayRepeat && state.response.lastEventId != null && state.crashes.refusal() == null
         if (!possible) return null
-        val choice = context.router.choose(state.requirements(), state.targets(), context::waitMs)
-        val target = (choice as? Choice.Send)?.target
+        val target = (state.choose() as? Choice.Send)?.target
         return target?.takeIf { context.budgets.of(state.accepted.service).tryAcquire(BUDGET_SHARE) }
     }
 
--- a/gateway/src/test/kotlin/auburnhall/gateway/ResumedStreamTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/ResumedStreamTest.kt
@@ -36,6 +36,19 @@
         assertFalse(text.endsWith(lastChunk))
     }
 
+    /** Guards against streams without a target that use up the retry budget of those that have one. */
+    @Test
+    fun `a stream that waits for a worker takes no retry out of the budget before it is sent`() {
+        val budget = context.budgets.of("model")
+        loop.submit { while (budget.tryAcquire()) Unit }.sync()
+        loop.submit { repeat(2) { budget.onRequest() } }.sync()
+        serve(worker(Script.Reset(stream(1, 2))))
+        call("/stream/x")
+        var retries = 0
+        loop.submit { while (budget.tryAcquire()) retries++ }.sync()
+        assertEquals(2, retries)
+    }
+
     /** Calls a worker that breaks off after event 2 while the retry budget is used up; another one has the rest. */
     private fun callWithoutBudget(onBroken: () -> Unit): String {
         serve(worker(Script.Reset(stream(1, 2))))
