Remember a replica while requests are in progress there (LOST)

Callers saw a stream begin anew elsewhere, or fail there, when the replica at which it waited was closing: its first run was cancelled although the replica was active. Cause: an update of the targets forgot when a replica that takes no more requests was last active, so that a stream that had waited for its first event for over 0.78 s counted as lost at the next check. The mark that the controller tears a replica down was forgotten as well, so that its streams stayed there when another one appeared a moment later.

Now both are kept while this process has requests in progress there. Ruled out: growth (the next update after the last request forgets them), and that new requests are sent there (the table of targets alone decides that).

--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -7,6 +7,7 @@
 import auburnhall.http.InboundRequest
 import auburnhall.http.RequestHandler
 import auburnhall.http.ResponseWriter
+import auburnhall.routing.TargetKey
 
 /** Serves requests on the traffic thread. */
 class Gateway(
@@ -54,12 +55,16 @@
     /** Replaces the state by which requests are served, and dispatches held and queued requests. */
     fun update(state: GatewayState) {
         context.state = state
-        context.health.retain(state.targets::isPresent)
-        context.failureDetector.retain(state.targets::isPresent)
+        context.health.retain(::isInUse)
+        context.failureDetector.retain(::isInUse)
         startupQueue.release()
         inFlight.queue.dispatchAll()
     }
 
+    /** Whether requests may be sent to [key], or some are still in progress there. */
+    private fun isInUse(key: TargetKey): Boolean =
+        context.state.targets.isPresent(key) || context.load.own(key).requests > 0
+
     /** A replica is known to be lost, so that its requests are to be retried elsewhere. */
     fun onReplicaLost() = inFlight.onReplicaLost()
 
