--- a/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
@@ -112,8 +112,7 @@
         context.listener.logFailure(attempt, failure, state.accepted)
         if (failure.step == CallStep.CONNECT) {
             state.onUnreachable(attempt.target.key)
-            val giveUp = state.connectAttemptsExhausted || context.clock.nowMs() >= state.accepted.deadlineMs
-            if (giveUp) end.onError("could not connect to a target") else request.dispatch()
+            sendElsewhere()
         } else {
             state.mayHaveExecuted = true
             val giveUp = { end.onError(failure.cause) }
@@ -122,6 +121,16 @@
         }
     }
 
+    /** No connection to a target could be made, so that nothing was sent. */
+    private fun sendElsewhere() {
+        val giveUp = { end.onError("could not connect to a target") }
+        when {
+            context.clock.nowMs() >= state.accepted.deadlineMs -> giveUp()
+            state.connectAttemptsExhausted -> request.retries.later(giveUp)
+            else -> request.dispatch()
+        }
+    }
+
     private companion object {
         const val FIRST_SERVER_ERROR_STATUS = 500
     }
--- a/gateway/src/main/kotlin/auburnhall/gateway/Retries.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Retries.kt
@@ -32,6 +32,11 @@
         if (!retried) giveUp()
     }
 
+    /** Dispatches a stream under way again a little later; calls [giveUp] if it is none, or has waited too long. */
+    fun later(giveUp: () -> Unit) {
+        if (!wait.begin(dispatch)) giveUp()
+    }
+
     private fun canSend(): Boolean {
         if (!state.response.streaming) return true
         val choice = state.choose()
--- a/gateway/src/test/kotlin/auburnhall/gateway/ResumedStreamTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/ResumedStreamTest.kt
@@ -36,6 +36,22 @@
         assertFalse(text.endsWith(lastChunk))
     }
 
+    /** Guards against a stream that is cut because several workers have just stopped at the same moment. */
+    @Test
+    fun `a stream for which no connection can be made goes on at a worker that appears soon`() {
+        val broken = worker(Script.Reset(stream(1, 2)))
+        serve(broken)
+        val gone = List(GONE_WORKERS) { worker().also { it.close() } }
+        val response = CompletableFuture.supplyAsync { call("/stream/x") }
+        while (broken.requests.isEmpty()) Thread.onSpinWait()
+        serve(broken, *gone.toTypedArray())
+        TimeUnit.MILLISECONDS.sleep(APPEARANCE_MS)
+        serve(broken, *gone.toTypedArray(), worker(Script.Send(stream(3) + lastChunk)))
+        val text = response.join()
+        assertEquals(listOf(1, 2, 3), eventIds(text))
+        assertTrue(text.endsWith(lastChunk))
+    }
+
     /** Guards against streams without a target that use up the retry budget of those that have one. */
     @Test
     fun `a stream that waits for a worker takes no retry out of the budget before it is sent`() {
@@ -80,6 +96,8 @@
     }
 
     private companion object {
+        /** As many as a request tries before it counts as unable to connect. */
+        const val GONE_WORKERS = 4
         const val GIVEN_UP_MS = 2_500L
         const val APPEARANCE_MS = 300L
     }
