Deliver what was sent before an aborted stream (LOST)

Seen by callers: an order's answer of 200 KB or more that is not read yet is cut by a reset when a stream behind it on the same connection breaks off.

Cause: the abort closed the socket with SO_LINGER 0, which drops all that is not sent yet, of earlier responses and of the stream itself. Requests that were decoded from the same bytes behind the stream were still served, although the connection was closed.

Ruled out: a slow caller alone (SlowCallerTest passes), and the idle timeout (the reset comes at once).

Fix: ConnectionEnd writes all that was handed over, shuts the output down, and reads and drops what arrives until the caller closes. A chunked response without its last chunk is incomplete, also after an orderly end. The connection counts as in progress until then; a caller that takes nothing for the idle timeout is given up and reported. What it sends meanwhile does not count as activity.

--- a/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
@@ -31,8 +31,7 @@
                 ctx: ChannelHandlerContext,
                 message: Any,
             ) {
-                timeouts.onActivity()
-                queue.aggregator.onArrival()
+                if (!queue.ending.begun) onArrival()
                 ctx.fireChannelRead(message)
             }
 
@@ -80,6 +79,11 @@
         }
     }
 
+    private fun onArrival() {
+        timeouts.onActivity()
+        queue.aggregator.onArrival()
+    }
+
     /** Counts as activity that the caller has taken more of a response since the last check. */
     private fun noteSending() {
         val buffer = context.channel().unsafe().outboundBuffer() ?: return
@@ -90,8 +94,8 @@
 
     private fun checkTimeouts() {
         if (!context.channel().isActive) return
-        if (queue.unsentResponses > 0) noteSending()
-        val requestTimeoutAtMs = queue.aggregator.timeoutAtMs()
+        if (queue.ending.unsentResponses > 0) noteSending()
+        val requestTimeoutAtMs = if (queue.ending.begun) null else queue.aggregator.timeoutAtMs()
         if (queue.current == null && !queue.refusing) {
             when (timeouts.expired(requestTimeoutAtMs)) {
                 ExpiredTimeout.NONE -> Unit
--- a/http/src/main/kotlin/auburnhall/http/CallerResponseWriter.kt
+++ b/http/src/main/kotlin/auburnhall/http/CallerResponseWriter.kt
@@ -7,7 +7,6 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelOption
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
@@ -79,9 +78,7 @@
     override fun abort() {
         if (ended) return
         end()
-        context.channel().config().setOption(ChannelOption.SO_LINGER, 0)
-        queue.close(CloseReason.RESPONSE_ABORTED)
-        queue.onResponseEnded(keepAlive = false, written = null)
+        queue.end(CloseReason.RESPONSE_ABORTED)
     }
 
     /** Ends the response because the caller's connection was closed. */
--- /dev/null
+++ b/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
@@ -0,0 +1,89 @@
+/*
+ * Ends a caller's connection so that the caller receives what was handed over before. A socket that is closed while its
+ * peer still sends is reset, and a reset drops what the operating system has not sent yet: so only the output is shut
+ * down at first, and what arrives is read and dropped until the caller closes the connection.
+ */
+package auburnhall.http
+
+import io.netty.channel.ChannelFuture
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.socket.SocketChannel
+import java.util.concurrent.TimeUnit
+
+/** Follows what was handed over to a connection, and ends it. Used on its event loop; [context] is set before the rest. */
+internal class ConnectionEnd(
+    private val server: HttpServer,
+    private val timeouts: CallerTimeouts,
+) {
+    lateinit var context: ChannelHandlerContext
+
+    /** Whether the connection ends with what was handed over to it; nothing else that is received on it is served. */
+    var begun = false
+        private set
+
+    /**
+     * Number of responses that were handed over to the channel and are not sent completely. The last one counts until
+     * the caller has closed the connection.
+     */
+    var unsentResponses = 0
+        private set
+
+    /** A response was handed over as [written], and the connection goes on. */
+    fun onHandedOver(written: ChannelFuture) {
+        unsentResponses++
+        written.addListener {
+            unsentResponses--
+            timeouts.onActivity()
+        }
+    }
+
+    /** Ends the connection once [written] and what was handed over before are sent. */
+    fun after(written: ChannelFuture) {
+        begun = true
+        unsentResponses++
+        written.addListener { linger() }
+    }
+
+    /** Closes the connection because of [reason] and [cause], with [unanswered] requests; what is not sent is dropped. */
+    fun giveUp(
+        reason: CloseReason,
+        cause: Throwable?,
+        unanswered: Int,
+    ) {
+        val unsentBytes =
+            context
+                .channel()
+                .unsafe()
+                .outboundBuffer()
+                ?.totalPendingWriteBytes() ?: 0
+        report(reason, cause, unsentBytes, unanswered)
+        context.close()
+    }
+
+    /** Reports what is lost, if anything is. */
+    fun report(
+        reason: CloseReason,
+        cause: Throwable?,
+        unsentBytes: Long,
+        unanswered: Int,
+    ) {
+        if (unsentBytes == 0L && unanswered == 0) return
+        val peer =
+            context
+                .channel()
+                .remoteAddress()
+                ?.toString()
+                .orEmpty()
+        server.onCut(CutConnection(peer, reason, unsentBytes, unanswered, cause?.let(::describe)))
+    }
+
+    private fun linger() {
+        (context.channel() as SocketChannel).shutdownOutput()
+        context.executor().schedule({ context.close() }, MAX_LINGER_MS, TimeUnit.MILLISECONDS)
+    }
+
+    private companion object {
+        /** Longest wait for a caller to read what the operating system still holds, a few megabytes, and to close. */
+        const val MAX_LINGER_MS = 5_000L
+    }
+}
--- a/http/src/main/kotlin/auburnhall/http/ConnectionEvents.kt
+++ b/http/src/main/kotlin/auburnhall/http/ConnectionEvents.kt
@@ -36,11 +36,11 @@
     ERROR,
 }
 
-/** The caller's connection from [peer] was closed with bytes of responses unsent, or with requests unanswered. */
+/** The caller's connection from [peer] ends with bytes of responses unsent, or with requests unanswered. */
 data class CutConnection(
     val peer: String,
     val reason: CloseReason,
-    /** Bytes that were not yet handed over to the operating system. */
+    /** Bytes that are dropped before they are handed over to the operating system. */
     val unsentBytes: Long,
     /** Complete requests without a complete response. */
     val unansweredRequests: Int,
--- a/http/src/main/kotlin/auburnhall/http/InboundRequest.kt
+++ b/http/src/main/kotlin/auburnhall/http/InboundRequest.kt
@@ -51,7 +51,7 @@
     /** Completes a started response. */
     fun finish()
 
-    /** Resets the connection, so that the caller cannot mistake what it received for a complete response. */
+    /** Ends the connection without the end of the response, so that what the caller receives does not look complete. */
     fun abort()
 }
 
--- a/http/src/main/kotlin/auburnhall/http/RequestQueue.kt
+++ b/http/src/main/kotlin/auburnhall/http/RequestQueue.kt
@@ -6,6 +6,7 @@
 
 import auburnhall.core.CallerLimits
 import auburnhall.core.Clock
+import io.netty.buffer.Unpooled
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.handler.codec.http.DefaultFullHttpResponse
@@ -20,7 +21,10 @@
     private val server: HttpServer,
     private val timeouts: CallerTimeouts,
 ) : RequestReceiver.Listener {
-    lateinit var context: ChannelHandlerContext
+    /** What was handed over to the connection, and how it ends. */
+    val ending = ConnectionEnd(server, timeouts)
+
+    var context: ChannelHandlerContext by ending::context
 
     val aggregator = RequestAggregator(limits, clock, server.requestMemory)
     val receiver = RequestReceiver(aggregator, server.requestMemory, this)
@@ -36,13 +40,13 @@
     var refusing = false
         private set
 
-    /** Number of responses that were handed over to the channel and are not sent completely. */
-    var unsentResponses = 0
-        private set
-
     /** Whether a request is in progress, queued or partly received, or a response was not sent completely yet. */
     val busy: Boolean
-        get() = current != null || aggregator.receiving || queued.isNotEmpty() || refusing || unsentResponses > 0
+        get() = current != null || aggregator.receiving || queued.isNotEmpty() || refusing || ending.unsentResponses > 0
+
+    /** Number of complete requests without a complete response. */
+    private val unanswered: Int
+        get() = queued.count { it is AggregationResult.Complete } + if (current == null) 0 else 1
 
     /** Whether the connection ends with the current response, since the process stops and no other request was read. */
     val endsAfterResponse: Boolean get() = server.draining && queued.isEmpty()
@@ -50,8 +54,7 @@
     /** The connection was closed. */
     fun onClosed() {
         receiver.close()
-        queued.forEach { it.release() }
-        queued.clear()
+        queued.onEach { it.release() }.clear()
         refusing = false
         current?.onConnectionClosed()
     }
@@ -87,46 +90,32 @@
         serveNext()
     }
 
-    /**
-     * The current response has ended and was handed over as [written], null if it was aborted; the next request is
-     * served if the connection goes on with [keepAlive].
-     */
+    /** The current response has ended and was handed over as [written]; with [keepAlive], the next request is served. */
     fun onResponseEnded(
         keepAlive: Boolean,
-        written: ChannelFuture?,
+        written: ChannelFuture,
     ) {
         current = null
         timeouts.onActivity()
-        if (written != null) awaitSent(written, keepAlive)
-        if (keepAlive) serveNext()
+        ending.onHandedOver(written)
+        if (keepAlive) serveNext() else written.addListener { context.close() }
+    }
+
+    /** Ends the connection behind what was handed over; the current response and the requests behind it get no answer. */
+    fun end(reason: CloseReason) {
+        ending.report(reason, null, 0, unanswered)
+        current = null
+        receiver.close()
+        queued.onEach { it.release() }.clear()
+        ending.after(context.writeAndFlush(Unpooled.EMPTY_BUFFER))
+        onWaitingChange()
     }
 
     /** Closes the connection because of [reason] and [cause], and reports what is lost by it. */
     fun close(
         reason: CloseReason,
         cause: Throwable? = null,
-    ) {
-        val channel = context.channel()
-        val unsent = channel.unsafe().outboundBuffer()?.totalPendingWriteBytes() ?: 0
-        val unanswered = queued.count { it is AggregationResult.Complete } + if (current == null) 0 else 1
-        if (unsent > 0 || unanswered > 0) {
-            val peer = channel.remoteAddress()?.toString().orEmpty()
-            server.onCut(CutConnection(peer, reason, unsent, unanswered, cause?.let(::describe)))
-        }
-        context.close()
-    }
-
-    private fun awaitSent(
-        written: ChannelFuture,
-        keepAlive: Boolean,
-    ) {
-        unsentResponses++
-        written.addListener {
-            unsentResponses--
-            timeouts.onActivity()
-            if (!keepAlive) context.close()
-        }
-    }
+    ) = ending.giveUp(reason, cause, unanswered)
 
     private fun serveNext() {
         if (current == null) queued.removeFirstOrNull()?.let(::serve)
