--- a/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
@@ -44,8 +44,11 @@
     /** See [RequestQueue.busy]. */
     val busy: Boolean get() = queue.busy
 
-    fun close() {
-        context.close()
+    /** Ends the connection, on which nothing is in progress. */
+    fun end() {
+        if (queue.ending.begun) return
+        queue.receiver.close()
+        queue.ending.linger()
     }
 
     override fun channelActive(ctx: ChannelHandlerContext) {
@@ -65,7 +68,7 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        queue.close(CloseReason.ERROR, cause)
+        queue.ending.giveUp(CloseReason.ERROR, cause, queue.unanswered)
     }
 
     override fun channelRead(
@@ -92,14 +95,17 @@
         sendPosition = position
     }
 
+    /** Nothing has arrived or been taken for the idle timeout, and no request is in progress. */
+    private fun onIdle() = if (queue.busy) queue.ending.giveUp(CloseReason.IDLE, null, queue.unanswered) else end()
+
     private fun checkTimeouts() {
         if (!context.channel().isActive) return
         if (queue.ending.unsentResponses > 0) noteSending()
         val requestTimeoutAtMs = if (queue.ending.begun) null else queue.aggregator.timeoutAtMs()
-        if (queue.current == null && !queue.refusing) {
+        if (queue.current == null) {
             when (timeouts.expired(requestTimeoutAtMs)) {
                 ExpiredTimeout.NONE -> Unit
-                ExpiredTimeout.IDLE -> queue.close(CloseReason.IDLE)
+                ExpiredTimeout.IDLE -> onIdle()
                 ExpiredTimeout.REQUEST -> queue.refuse(HttpResponseStatus.REQUEST_TIMEOUT)
             }
         }
--- a/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
+++ b/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
@@ -44,7 +44,7 @@
         written.addListener { linger() }
     }
 
-    /** Closes the connection because of [reason] and [cause], with [unanswered] requests; what is not sent is dropped. */
+    /** Closes the connection at once because of [reason] and [cause], with [unanswered] requests; what is not sent is dropped. */
     fun giveUp(
         reason: CloseReason,
         cause: Throwable?,
@@ -77,7 +77,10 @@
         server.onCut(CutConnection(peer, reason, unsentBytes, unanswered, cause?.let(::describe)))
     }
 
-    private fun linger() {
+    /** Ends the connection, on which everything is sent. */
+    fun linger() {
+        begun = true
+        timeouts.onActivity()
         (context.channel() as SocketChannel).shutdownOutput()
         context.executor().schedule({ context.close() }, MAX_LINGER_MS, TimeUnit.MILLISECONDS)
     }
--- a/http/src/main/kotlin/auburnhall/http/HttpServer.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpServer.kt
@@ -73,8 +73,8 @@
         listener?.close()
     }
 
-    /** Closes connections on which no request is in progress. Call on the loop. */
-    fun closeIdleConnections() = connections.filter { !it.busy }.forEach { it.close() }
+    /** Ends connections on which no request is in progress. Call on the loop. */
+    fun closeIdleConnections() = connections.filter { !it.busy }.forEach { it.end() }
 
     private fun initializer() =
         object : ChannelInitializer<Channel>() {
--- a/http/src/main/kotlin/auburnhall/http/RequestQueue.kt
+++ b/http/src/main/kotlin/auburnhall/http/RequestQueue.kt
@@ -36,16 +36,12 @@
     /** Complete requests, and at most one refused request behind them. */
     private val queued = ArrayDeque<AggregationResult>()
 
-    /** Whether a refusal was sent, after which the connection ends. */
-    var refusing = false
-        private set
-
     /** Whether a request is in progress, queued or partly received, or a response was not sent completely yet. */
     val busy: Boolean
-        get() = current != null || aggregator.receiving || queued.isNotEmpty() || refusing || ending.unsentResponses > 0
+        get() = current != null || aggregator.receiving || queued.isNotEmpty() || ending.unsentResponses > 0
 
     /** Number of complete requests without a complete response. */
-    private val unanswered: Int
+    val unanswered: Int
         get() = queued.count { it is AggregationResult.Complete } + if (current == null) 0 else 1
 
     /** Whether the connection ends with the current response, since the process stops and no other request was read. */
@@ -55,7 +51,6 @@
     fun onClosed() {
         receiver.close()
         queued.onEach { it.release() }.clear()
-        refusing = false
         current?.onConnectionClosed()
     }
 
@@ -74,7 +69,7 @@
 
     /** Holds the caller back while enough of its requests are queued, or while there is no memory for more. */
     override fun onWaitingChange() {
-        context.channel().config().isAutoRead = refusing || (queued.size < MAX_PIPELINED_REQUESTS && !receiver.waiting)
+        context.channel().config().isAutoRead = queued.size < MAX_PIPELINED_REQUESTS && !receiver.waiting
     }
 
     override fun onMemoryTimeout() {
@@ -97,36 +92,32 @@
     ) {
         current = null
         timeouts.onActivity()
+        if (!keepAlive) return endAfter(written)
         ending.onHandedOver(written)
-        if (keepAlive) serveNext() else written.addListener { context.close() }
+        serveNext()
     }
 
     /** Ends the connection behind what was handed over; the current response and the requests behind it get no answer. */
     fun end(reason: CloseReason) {
         ending.report(reason, null, 0, unanswered)
         current = null
+        endAfter(context.writeAndFlush(Unpooled.EMPTY_BUFFER))
+    }
+
+    private fun endAfter(written: ChannelFuture) {
         receiver.close()
         queued.onEach { it.release() }.clear()
-        ending.after(context.writeAndFlush(Unpooled.EMPTY_BUFFER))
+        ending.after(written)
         onWaitingChange()
     }
 
-    /** Closes the connection because of [reason] and [cause], and reports what is lost by it. */
-    fun close(
-        reason: CloseReason,
-        cause: Throwable? = null,
-    ) = ending.giveUp(reason, cause, unanswered)
-
     private fun serveNext() {
         if (current == null) queued.removeFirstOrNull()?.let(::serve)
         onWaitingChange()
     }
 
     private fun serve(next: AggregationResult) {
-        if (next is AggregationResult.Refused) {
-            refusing = true
-            context.sendRefusal(next.status)
-        }
+        if (next is AggregationResult.Refused) endAfter(context.writeAndFlush(refusal(next.status)))
         if (next !is AggregationResult.Complete) return
         val response = CallerResponseWriter(context, next, this)
         current = response
