--- a/entry/src/main/kotlin/auburnhall/entry/ConnectionObserver.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ConnectionObserver.kt
@@ -1,6 +1,6 @@
 /*
  * Logs and counts what happens on connections apart from their requests: bytes of workers that belong to no response
- * that was awaited, and callers' connections that were closed with something unsent or unanswered.
+ * that was awaited, and callers' connections that end with something unsent or unanswered, or with an error.
  */
 package auburnhall.entry
 
@@ -22,6 +22,7 @@
         client: HttpClient,
     ) {
         callers.onCut = ::onCut
+        callers.onHandlerError = { listener.log("caller.handler_error", "peer" to it.peer, "cause" to it.cause) }
         client.onStrayBytes = ::onStrayBytes
     }
 
--- a/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.ReferenceCountUtil
+import java.io.IOException
 import java.util.concurrent.TimeUnit
 
 internal class CallerConnection(
@@ -68,18 +69,20 @@
         ctx: ChannelHandlerContext,
         cause: Throwable,
     ) {
-        queue.ending.giveUp(CloseReason.ERROR, cause, queue.unanswered)
+        if (cause is IOException) return queue.ending.giveUp(CloseReason.ERROR, cause, queue.unanswered)
+        queue.ending.reportError(cause)
+        queue.current?.fail() ?: queue.refuse(HttpResponseStatus.INTERNAL_SERVER_ERROR)
     }
 
     override fun channelRead(
         ctx: ChannelHandlerContext,
         message: Any,
     ) {
-        try {
-            if (message is HttpObject) queue.receiver.onPart(message)
-        } finally {
-            ReferenceCountUtil.release(message)
+        runCatching { if (message is HttpObject) queue.receiver.onPart(message) }.onFailure {
+            queue.ending.reportError(it)
+            queue.refuse(HttpResponseStatus.INTERNAL_SERVER_ERROR)
         }
+        ReferenceCountUtil.release(message)
     }
 
     private fun onArrival() {
--- a/http/src/main/kotlin/auburnhall/http/CallerResponseWriter.kt
+++ b/http/src/main/kotlin/auburnhall/http/CallerResponseWriter.kt
@@ -27,6 +27,7 @@
     override var onWritabilityChange: (() -> Unit)? = null
     override val writable: Boolean get() = context.channel().isWritable
     private var ended = false
+    private var started = false
     private var closeAfterwards = !request.keepAlive
 
     override fun send(
@@ -58,6 +59,7 @@
         headers: HttpHeaders,
     ) {
         if (ended) return
+        started = true
         headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         setConnectionHeader(headers)
         context.writeAndFlush(DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers))
@@ -81,6 +83,14 @@
         queue.end(CloseReason.RESPONSE_ABORTED)
     }
 
+    /** Ends the response because of an error in the handling of its request, which is given up. */
+    fun fail() {
+        if (ended) return
+        val giveUp = onDisconnect
+        if (started) abort() else send(INTERNAL_ERROR, newHeaders(), ByteArray(0)) { }
+        giveUp?.invoke()
+    }
+
     /** Ends the response because the caller's connection was closed. */
     fun onConnectionClosed() {
         if (ended) return
@@ -106,4 +116,8 @@
         queue.onResponseEnded(!closeAfterwards, written)
         return written
     }
+
+    private companion object {
+        const val INTERNAL_ERROR = 500
+    }
 }
--- a/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
+++ b/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
@@ -28,6 +28,9 @@
     var unsentResponses = 0
         private set
 
+    private val peer: String
+        get() = context.channel().remoteAddress()?.let { "$it" }.orEmpty()
+
     /** A response was handed over as [written], and the connection goes on. */
     fun onHandedOver(written: ChannelFuture) {
         unsentResponses++
@@ -68,15 +71,12 @@
         unanswered: Int,
     ) {
         if (unsentBytes == 0L && unanswered == 0) return
-        val peer =
-            context
-                .channel()
-                .remoteAddress()
-                ?.toString()
-                .orEmpty()
         server.onCut(CutConnection(peer, reason, unsentBytes, unanswered, cause?.let(::describe)))
     }
 
+    /** Reports an unexpected error, which ends only the request that it belongs to. */
+    fun reportError(cause: Throwable) = server.onHandlerError(HandlerError(peer, describe(cause)))
+
     /** Ends the connection, on which everything is sent. */
     fun linger() {
         begun = true
--- a/http/src/main/kotlin/auburnhall/http/ConnectionEvents.kt
+++ b/http/src/main/kotlin/auburnhall/http/ConnectionEvents.kt
@@ -47,3 +47,9 @@
     /** The error, if there was one. */
     val cause: String?,
 )
+
+/** The handler of a request from [peer] failed with [cause], an unexpected error; the request ended with a failure. */
+data class HandlerError(
+    val peer: String,
+    val cause: String,
+)
--- a/http/src/main/kotlin/auburnhall/http/HttpServer.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpServer.kt
@@ -37,6 +37,9 @@
     /** Called when a connection is closed with bytes unsent or requests unanswered. */
     var onCut: (CutConnection) -> Unit = { }
 
+    /** Called when the handler of a request fails with an unexpected error, which ends only this request. */
+    var onHandlerError: (HandlerError) -> Unit = { }
+
     /** Whether responses ask callers to close their connections; set when the process stops. */
     @Volatile
     var draining = false
--- a/http/src/main/kotlin/auburnhall/http/RequestQueue.kt
+++ b/http/src/main/kotlin/auburnhall/http/RequestQueue.kt
@@ -80,6 +80,7 @@
 
     /** Answers the requests before this one, then refuses it; the rest of what the caller sends is not used. */
     fun refuse(status: HttpResponseStatus) {
+        if (ending.begun) return
         receiver.close()
         queued.addLast(AggregationResult.Refused(status))
         serveNext()
@@ -121,7 +122,10 @@
         if (next !is AggregationResult.Complete) return
         val response = CallerResponseWriter(context, next, this)
         current = response
-        handler.onRequest(next.request, response)
+        runCatching { handler.onRequest(next.request, response) }.onFailure {
+            ending.reportError(it)
+            response.fail()
+        }
     }
 
     private companion object {
