End the connection when a response cannot be written (LOST)

Seen by callers: no answer, on a connection that stays open until the caller gives up, if a response cannot be encoded.

Cause: the listener of the last write took a failed write for a sent response, and those of the head and of events were not looked at.

Ruled out: a write that fails because the caller has gone (IOException): the close of the channel tells that already.

Fix: ConnectionEnd.write looks at each write. A failed one ends the connection behind what was handed over, is reported as WRITE_ERROR with its cause and the requests without an answer, and gives up the handling of the response in progress. ConnectionEndTest sends an empty order, so that a request that is still served on a loaded machine does not fail it.

--- a/http/src/main/kotlin/auburnhall/http/CallerResponseWriter.kt
+++ b/http/src/main/kotlin/auburnhall/http/CallerResponseWriter.kt
@@ -62,14 +62,14 @@
         started = true
         headers.set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
         setConnectionHeader(headers)
-        context.writeAndFlush(DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers))
+        queue.ending.write(DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), headers))
     }
 
     override fun write(content: ByteBuf) {
         if (ended) {
             content.release()
         } else {
-            context.writeAndFlush(DefaultHttpContent(content))
+            queue.ending.write(DefaultHttpContent(content))
         }
     }
 
@@ -112,7 +112,7 @@
 
     private fun complete(message: Any): ChannelFuture {
         end()
-        val written = context.writeAndFlush(message)
+        val written = queue.ending.write(message)
         queue.onResponseEnded(!closeAfterwards, written)
         return written
     }
--- a/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
+++ b/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.socket.SocketChannel
+import java.io.IOException
 import java.util.concurrent.TimeUnit
 
 /** Follows what was handed over to a connection, and ends it. Used on its event loop; [context] is set before the rest. */
@@ -17,6 +18,9 @@
 ) {
     lateinit var context: ChannelHandlerContext
 
+    /** Called when something that was handed over cannot be written, though the caller is there. */
+    var onWriteError: (Throwable) -> Unit = { }
+
     /** Whether the connection ends with what was handed over to it; nothing else that is received on it is served. */
     var begun = false
         private set
@@ -29,7 +33,19 @@
         private set
 
     private val peer: String
-        get() = context.channel().remoteAddress()?.let { "$it" }.orEmpty()
+        get() =
+            context
+                .channel()
+                .remoteAddress()
+                ?.let { "$it" }
+                .orEmpty()
+
+    /** Hands [message] over to the channel. */
+    fun write(message: Any): ChannelFuture =
+        context.writeAndFlush(message).addListener {
+            val cause = it.cause()
+            if (cause != null && cause !is IOException) onWriteError(cause)
+        }
 
     /** A response was handed over as [written], and the connection goes on. */
     fun onHandedOver(written: ChannelFuture) {
--- a/http/src/main/kotlin/auburnhall/http/ConnectionEvents.kt
+++ b/http/src/main/kotlin/auburnhall/http/ConnectionEvents.kt
@@ -32,6 +32,9 @@
     /** The caller has neither sent nor taken anything for the idle timeout. */
     IDLE,
 
+    /** A response cannot be encoded. */
+    WRITE_ERROR,
+
     /** An error on the connection, or in the handling of what was received on it. */
     ERROR,
 }
--- a/http/src/main/kotlin/auburnhall/http/RequestQueue.kt
+++ b/http/src/main/kotlin/auburnhall/http/RequestQueue.kt
@@ -22,7 +22,7 @@
     private val timeouts: CallerTimeouts,
 ) : RequestReceiver.Listener {
     /** What was handed over to the connection, and how it ends. */
-    val ending = ConnectionEnd(server, timeouts)
+    val ending = ConnectionEnd(server, timeouts).apply { onWriteError = { end(CloseReason.WRITE_ERROR, it) } }
 
     var context: ChannelHandlerContext by ending::context
 
@@ -99,9 +99,14 @@
     }
 
     /** Ends the connection behind what was handed over; the current response and the requests behind it get no answer. */
-    fun end(reason: CloseReason) {
-        ending.report(reason, null, 0, unanswered)
+    fun end(
+        reason: CloseReason,
+        cause: Throwable? = null,
+    ) {
+        ending.report(reason, cause, 0, unanswered)
+        val response = current
         current = null
+        response?.onConnectionClosed()
         endAfter(context.writeAndFlush(Unpooled.EMPTY_BUFFER))
     }
 
--- a/http/src/test/kotlin/auburnhall/http/ConnectionEndTest.kt
+++ b/http/src/test/kotlin/auburnhall/http/ConnectionEndTest.kt
@@ -39,7 +39,7 @@
             pause()
             end(caller)
             pause()
-            runCatching { caller.request("/1") }
+            runCatching { caller.request("/0") }
             pause()
             caller.readToEnd()
         }
