Give up a connection whose late response takes the awaited one

What callers saw: 504 at the deadline, though the worker had answered. A late second copy that is broken off inside its body takes the next response as the rest of it; the call then waits for bytes that never come.

Cause: a late response is dropped for as long as its framing says. Nothing compared the dropped bytes with the call, and nothing bounded the time.

Fix: dropped bytes that contain the id of the request, also across two reads, fail the call at once, and so does a late response without length or chunks; any other that has not ended 300 ms after its head does then. The call fails as if the connection had broken off. The timer is cancelled when the response or the call ends.

--- a/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
@@ -13,16 +13,12 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.ChannelInputShutdownEvent
-import io.netty.handler.codec.http.DefaultFullHttpRequest
-import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpContent
-import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpRequestEncoder
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpUtil
-import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
 import java.io.IOException
@@ -76,19 +72,8 @@
         call = started
         calls++
         request.correlation?.let { remember(it.value) }
-        val message =
-            DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                request.method,
-                request.uri,
-                request.body.toByteBuf(),
-                request.headers,
-                EmptyHttpHeaders.INSTANCE,
-            )
-        if (request.body.size > 0 || request.method != HttpMethod.GET) {
-            message.headers().set(HttpHeaderNames.CONTENT_LENGTH, request.body.size)
-        }
-        context.writeAndFlush(message).addListener { if (it.isSuccess) started.written = true else error = it.cause() }
+        val sending = context.writeAndFlush(request.toMessage())
+        sending.addListener { if (it.isSuccess) started.written = true else error = it.cause() }
         return started
     }
 
@@ -112,8 +97,9 @@
     ) {
         if (call !== failed) return
         call = null
+        failed.dropped.stop()
         context.close()
-        val failure = CallFailure(failed.step, peer, cause, closedByPeer, calls - 1, failed.droppedResponses)
+        val failure = CallFailure(failed.step, peer, cause, closedByPeer, calls - 1, failed.dropped.heads)
         failed.listener.onFailure(failure)
     }
 
@@ -219,9 +205,7 @@
         var keepAlive = false
         private var framing = Framing.LENGTH
         var written = false
-        private var dropping = false
-        private val dropped = DroppedResponses()
-        val droppedResponses: Int get() = dropped.heads
+        val dropped = DroppedResponses(correlation, context.executor()) { fail(this, it) }
 
         override fun setReading(reading: Boolean) {
             if (call === this) context.channel().config().isAutoRead = reading
@@ -230,6 +214,7 @@
         override fun cancel() {
             if (call === this) {
                 call = null
+                dropped.stop()
                 context.close()
             }
         }
@@ -248,23 +233,17 @@
             val fault = response.fault()
             when {
                 fault != null -> fail(this, fault)
-                interim -> drop()
+                interim -> dropped.onInterim()
                 owns(response) -> accept(response)
                 correlation?.header !in response.headers() -> fail(this, "response without ${correlation?.header}")
                 else -> {
                     reportStray(StrayKind.LATE_RESPONSE)
-                    drop()
+                    dropped.onLate(response.framing())
                 }
             }
         }
 
-        private fun drop() {
-            dropping = true
-            dropped.onHead()?.let { fail(this, it) }
-        }
-
         private fun accept(response: HttpResponse) {
-            dropping = false
             step = CallStep.READ_BODY
             framing = response.framing()
             keepAlive = HttpUtil.isKeepAlive(response) && framing != Framing.CLOSE
@@ -273,23 +252,15 @@
         }
 
         private fun onContent(content: HttpContent) {
-            if (!dropping) {
-                if (content.content().isReadable) listener.onContent(content.content())
-                if (content is LastHttpContent && call === this) onLastContent()
-            } else {
-                onDropped(content)
-            }
+            if (dropped.active) return dropped.onContent(content)
+            if (content.content().isReadable) listener.onContent(content.content())
+            if (content is LastHttpContent && call === this) onLastContent()
         }
 
         private fun onLastContent() {
             val complete = framing != Framing.CLOSE || endedByPeer
             if (complete) complete(this) else failUnfinished(this)
         }
-
-        private fun onDropped(content: HttpContent) {
-            dropped.onContent(content.content().readableBytes())?.let { fail(this, it) }
-            if (content is LastHttpContent) dropping = false
-        }
     }
 
     private companion object {
--- a/http/src/main/kotlin/auburnhall/http/OutboundCall.kt
+++ b/http/src/main/kotlin/auburnhall/http/OutboundCall.kt
@@ -5,8 +5,13 @@
 
 import auburnhall.core.Address
 import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.EmptyHttpHeaders
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpVersion
 
 /** A header that a response copies from its request, by which a late response to another request is recognised. */
 data class Correlation(
@@ -23,6 +28,21 @@
     val correlation: Correlation? = null,
 )
 
+/** The request as it is encoded. */
+internal fun OutboundRequest.toMessage(): FullHttpRequest {
+    val message =
+        DefaultFullHttpRequest(
+            HttpVersion.HTTP_1_1,
+            method,
+            uri,
+            body.toByteBuf(),
+            headers,
+            EmptyHttpHeaders.INSTANCE,
+        )
+    if (body.size > 0 || method != HttpMethod.GET) headers.set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+    return message
+}
+
 /** Limits for one call. */
 data class CallOptions(
     /** Time, in milliseconds, in which a connection must be established. */
