Do not pass on a second copy behind a response that states no end

What callers saw: 200 with a body that is the worker's body and, behind it, the head and body of a second copy; in a stream, the head as an event, or as the rest of one.

Cause: a response with neither length nor chunks ends with its connection, so whatever follows it counts as its body. A stream's events were passed on whatever they began with.

Ruled out: a response that mentions a status line, or a head without the id, in its body; it is passed on as before.

The body came with `content-length: 45` for a worker's body of 4 bytes; an event of 78 bytes began with `id: 3` and went on with `HTTP/1.1 200 OK`.

Fix: a head in the body of such a response, that is a status line followed by the correlation header's field within the same head, makes it a failure; only the bytes before it are passed on. In any stream, an event that begins with a status line is none: the stream counts as broken off there, and is resumed if it may be.

--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -190,23 +190,28 @@
     override fun onContent(content: ByteBuf) {
         val bytes = ByteArray(content.readableBytes())
         content.readBytes(bytes)
-        val exceeded =
+        val fault =
             if (relaying) {
-                relay(bytes)
-                buffer.exceeded(events.pendingBytes, ResponseBuffers.MAX_EVENT_BYTES, "event")
+                relay(bytes) ?: buffer.exceeded(events.pendingBytes, ResponseBuffers.MAX_EVENT_BYTES, "event")
             } else {
                 body.write(bytes)
                 buffer.exceeded(body.size(), ResponseBuffers.MAX_BODY_BYTES, "body")
             }
-        if (exceeded != null) {
+        if (fault != null) {
             cancel()
-            onFailure(CallFailure(CallStep.READ_BODY, target.worker.address, exceeded))
+            onFailure(CallFailure(CallStep.READ_BODY, target.worker.address, fault))
         }
     }
 
-    private fun relay(bytes: ByteArray) {
-        val completeEvents = events.add(bytes)
-        if (completeEvents.isEmpty()) return
+    /** Passes complete events on; returns why the stream cannot be relayed further, null if it can. */
+    private fun relay(bytes: ByteArray): String? {
+        val complete = events.add(bytes)
+        val own = complete.takeWhile { !it.isHead }
+        if (own.isNotEmpty()) relay(own)
+        return if (own.size < complete.size) "a head in place of an event" else null
+    }
+
+    private fun relay(completeEvents: List<StreamEvent>) {
         if (!hasEvents) {
             firstEventAtMs = context.clock.nowMs()
             if (!released) context.load.onPromptRead(target.key, unreadTokens)
--- a/gateway/src/main/kotlin/auburnhall/gateway/EventSplitter.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/EventSplitter.kt
@@ -13,8 +13,12 @@
     /** Whether it only keeps the connection alive and is no part of the stream. */
     val isComment: Boolean get() = id == null && bytes.firstOrNull() == COMMENT_START
 
+    /** Whether it begins as a response does: the worker has sent another one in place of an event. */
+    val isHead: Boolean get() = bytes.size > HEAD_START.size && HEAD_START.indices.all { bytes[it] == HEAD_START[it] }
+
     private companion object {
         const val COMMENT_START = ':'.code.toByte()
+        val HEAD_START = "HTTP/1.".toByteArray()
     }
 }
 
--- a/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
@@ -3,12 +3,14 @@
  * one has ended, since they would be taken for the beginning of the next response. A response with neither a length nor
  * chunks is complete only if the peer has ended the connection in an orderly way: a connection that ends for any other
  * reason says nothing about it. A late response to an earlier call is recognised by its correlation header and dropped;
- * one without this header cannot be attributed. What is dropped, late and interim responses, is bounded.
+ * one without this header cannot be attributed. What is dropped, late and interim responses, is bounded. A response
+ * whose body contains the head of another one is not whole.
  */
 package auburnhall.http
 
 import auburnhall.core.Address
 import auburnhall.core.Clock
+import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandler
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
@@ -204,6 +206,7 @@
         var step = CallStep.AWAIT_RESPONSE
         var keepAlive = false
         private var framing = Framing.LENGTH
+        private var otherHead: HeadSearch? = null
         var written = false
         val dropped = DroppedResponses(correlation, context.executor()) { fail(this, it) }
 
@@ -246,13 +249,27 @@
         private fun accept(response: HttpResponse) {
             step = CallStep.READ_BODY
             framing = response.framing()
+            otherHead = correlation?.takeIf { framing == Framing.CLOSE }?.let { response.searchForOther(it) }
             keepAlive = HttpUtil.isKeepAlive(response) && framing != Framing.CLOSE
             idleLimitMs = response.idleLimitMs()
             listener.onHead(response.status().code(), response.headers(), framing)
         }
 
         private fun onContent(content: HttpContent) {
-            if (dropped.active) return dropped.onContent(content)
+            when {
+                dropped.active -> dropped.onContent(content)
+                otherHead?.isIn(content.content()) == true -> onOtherHead(content.content())
+                else -> onOwnContent(content)
+            }
+        }
+
+        private fun onOtherHead(content: ByteBuf) {
+            val own = otherHead?.bytesBefore ?: 0
+            if (own > 0) listener.onContent(content.readSlice(own))
+            fail(this, HEAD_IN_BODY)
+        }
+
+        private fun onOwnContent(content: HttpContent) {
             if (content.content().isReadable) listener.onContent(content.content())
             if (content is LastHttpContent && call === this) onLastContent()
         }
@@ -264,6 +281,7 @@
     }
 
     private companion object {
+        const val HEAD_IN_BODY = "a head within the body of a response"
         const val MAX_LINE_BYTES = 8_192
         const val MAX_HEAD_BYTES = 16_384
         const val FIRST_FINAL_STATUS = 200
--- a/http/src/main/kotlin/auburnhall/http/DroppedResponses.kt
+++ b/http/src/main/kotlin/auburnhall/http/DroppedResponses.kt
@@ -4,7 +4,6 @@
  */
 package auburnhall.http
 
-import io.netty.buffer.search.AbstractSearchProcessorFactory
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.concurrent.EventExecutor
@@ -25,8 +24,7 @@
     var active = false
         private set
     private var bytes = 0
-    private val ownId = own?.let { AbstractSearchProcessorFactory.newKmpSearchProcessorFactory(it.value.toByteArray()) }
-    private var search = ownId?.newSearchProcessor()
+    private val ownId by lazy(LazyThreadSafetyMode.NONE) { own?.let { searchFor(it.value) } }
     private var limit: Future<*>? = null
 
     /** The head of an interim response is dropped, which has no body. */
@@ -42,7 +40,7 @@
         if (framing == Framing.CLOSE) {
             onFault("late response without an end")
         } else {
-            search = ownId?.newSearchProcessor()
+            ownId?.reset()
             limit = executor.schedule({ onFault(NOT_ENDED) }, MAX_LATE_RESPONSE_MS, TimeUnit.MILLISECONDS)
         }
     }
@@ -64,7 +62,7 @@
     }
 
     private fun containsOwnId(content: HttpContent): Boolean =
-        search?.let { content.content().forEachByte(it) >= 0 } == true
+        ownId?.let { content.content().forEachByte(it) >= 0 } == true
 
     private companion object {
         /** A few are normal. */
--- a/http/src/main/kotlin/auburnhall/http/ResponseHeads.kt
+++ b/http/src/main/kotlin/auburnhall/http/ResponseHeads.kt
@@ -37,6 +37,10 @@
         else -> null
     }
 
+/** A search for other responses in the body, which spell the header of [correlation] as this one does. */
+internal fun HttpResponse.searchForOther(correlation: Correlation): HeadSearch =
+    HeadSearch(headers().names().first { it.equals(correlation.header, ignoreCase = true) } + ":")
+
 /**
  * Whether a status line stands within the head. It then consists of the beginning of one response, broken off, and of
  * the rest of another one: neither its status nor its fields can be relied on.
