Send requests without an id on connections of their own

What callers saw: the response to another request, with its status and body, when their own had no id.

Cause: without an id, nothing tells a late copy on a kept connection from the response to the request.

Evidence, before the fix: LateCopyTest, `a late copy is not taken for the response to a request without an id`: the first such request after one with an id gets 200 and `the response to first0`, its body. Ruled out: the next request with an id; it fails or gets its own.

Fix: CallOptions.pooled. A call without correlation to a worker takes a new connection, which is closed after it. Probes and calls to the store are pooled as before. An empty id counts as none.

--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -135,16 +135,20 @@
                 resumeAfterEventId = options.resumeAfterEventId,
                 priority = options.priority,
             )
+        val id = accepted.metadata.id?.ifEmpty { null }
+        val correlation = id?.let { Correlation(context.codecs.worker.idHeader, it) }
         val request =
             OutboundRequest(
                 accepted.request.method,
                 accepted.request.uri,
                 context.codecs.worker.requestHeaders(accepted.request.headers.endToEnd(), metadata),
                 accepted.request.body,
-                accepted.metadata.id?.let { Correlation(context.codecs.worker.idHeader, it) },
+                correlation,
             )
         val maxIdleMs = if (accepted.route.repeatable) MAX_CONNECTION_IDLE_MS else NON_REPEATABLE_MAX_CONNECTION_IDLE_MS
-        call = context.client.send(target.worker.address, request, CallOptions(CONNECT_TIMEOUT_MS, maxIdleMs), this)
+        // Without an id, a late response on a connection that has carried another request would be taken for its own.
+        val callOptions = CallOptions(CONNECT_TIMEOUT_MS, maxIdleMs, pooled = correlation != null)
+        call = context.client.send(target.worker.address, request, callOptions, this)
     }
 
     /** Cancels the call; the listener is not called any more. */
--- a/gateway/src/test/kotlin/auburnhall/gateway/JoinedResponseTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/JoinedResponseTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import java.net.Socket
 
 /** A worker that sends a second copy behind a response that states no end, or in place of an event. */
 class JoinedResponseTest : GatewayFixture() {
@@ -61,4 +62,26 @@
         assertFalse(response.endsWith(lastChunk), response)
         assertEquals(0, response.lastIndexOf("HTTP/1.1"), response)
     }
+
+    /** Guards against a late copy for a request that has no id to tell it by. */
+    @Test
+    fun `a request without an id shares no connection with another`() {
+        val ids = listOf("a", "b", null, null, "c")
+        serve(worker(*ids.map { Script.Send(full("own", id = "$it")) }.toTypedArray()))
+        val connects = ids.map { post(it) }
+        assertEquals(listOf(1L, 1L, 2L, 3L), connects.dropLast(1))
+        assertTrue(connects.last() in 3L..4L, "$connects")
+    }
+
+    /** Returns the number of connections to workers after a request with [id]. */
+    private fun post(id: String?): Long {
+        val field = id?.let { "id: $it\r\n" }.orEmpty()
+        Socket("127.0.0.1", port).use { socket ->
+            socket.soTimeout = SOCKET_TIMEOUT_MS
+            socket.getOutputStream().write("POST /unsafe/x HTTP/1.1\r\nHost: h\r\nkey: k\r\n$field\r\n".toByteArray())
+            val response = readResponse(socket)
+            assertTrue(response.startsWith("HTTP/1.1 200") && response.endsWith("own"), response)
+        }
+        return loop.submit<Long> { client.connects }.get()
+    }
 }
--- a/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
@@ -27,6 +27,7 @@
 
 internal class ClientConnection(
     val peer: Address,
+    private val pooled: Boolean,
     private val clock: Clock,
     private val client: HttpClient,
 ) {
@@ -111,7 +112,7 @@
         call = null
         val surplus = decoder.hasUndecodedBytes
         if (surplus) reportStray(StrayKind.BEHIND_RESPONSE)
-        val reusable = finished.keepAlive && finished.written && error == null && !surplus
+        val reusable = pooled && finished.keepAlive && finished.written && error == null && !surplus
         if (reusable) {
             context.channel().config().isAutoRead = true
             idleSinceMs = clock.nowMs()
--- a/http/src/main/kotlin/auburnhall/http/HttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpClient.kt
@@ -39,11 +39,8 @@
         options: CallOptions,
         listener: ResponseListener,
     ): OutboundCall {
-        val pooled = takeIdle(peer, request, options.maxIdleMs)
-        if (pooled != null) {
-            return pooled.start(request, listener)
-        }
-        return connect(peer, request, options, listener)
+        val pooled = if (options.pooled) takeIdle(peer, request, options.maxIdleMs) else null
+        return pooled?.start(request, listener) ?: connect(peer, request, options, listener)
     }
 
     /** Whether there is an idle connection to [peer]. */
@@ -76,7 +73,7 @@
         options: CallOptions,
         listener: ResponseListener,
     ): OutboundCall {
-        val connection = ClientConnection(peer, clock, this)
+        val connection = ClientConnection(peer, options.pooled, clock, this)
         val pending = PendingConnect(connection, request, listener)
         val future =
             Bootstrap()
--- a/http/src/main/kotlin/auburnhall/http/OutboundCall.kt
+++ b/http/src/main/kotlin/auburnhall/http/OutboundCall.kt
@@ -49,6 +49,8 @@
     val connectTimeoutMs: Int,
     /** Connections that were idle for longer, in milliseconds, are not used for this call. */
     val maxIdleMs: Long,
+    /** Whether the connection may have carried other calls, and may carry more. */
+    val pooled: Boolean = true,
 )
 
 /** The step at which a call failed. */
--- a/http/src/test/kotlin/auburnhall/http/LateCopyTest.kt
+++ b/http/src/test/kotlin/auburnhall/http/LateCopyTest.kt
@@ -109,6 +109,18 @@
         outcomes.forEach { (id, outcome) -> assertEquals(own(id), outcome) }
     }
 
+    /** Guards against a late copy that is taken for the response to a request that has no id to tell it by. */
+    @Test
+    fun `a late copy is not taken for the response to a request without an id`() {
+        worker.serve { id, earlier, socket -> socket.say(earlier?.let(::response).orEmpty() + response(id)) }
+        repeat(ROUNDS) {
+            assertEquals(own("first$it"), worker.call("first$it"))
+            assertEquals(own("next$it"), worker.callWithoutId("next$it"))
+            assertEquals(own("last$it"), worker.callWithoutId("last$it"))
+            assertEquals(own("then$it"), worker.call("then$it"))
+        }
+    }
+
     private companion object {
         const val TIMEOUT_MS = 3_000
         const val ROUNDS = 5
--- a/http/src/test/kotlin/auburnhall/http/WorkerCalls.kt
+++ b/http/src/test/kotlin/auburnhall/http/WorkerCalls.kt
@@ -45,9 +45,23 @@
         id: String,
         method: HttpMethod = HttpMethod.POST,
     ): Outcome {
-        val done = CompletableFuture<Outcome>()
         val request = OutboundRequest(method, "/$id", newHeaders(), HttpBody.EMPTY, Correlation("Attempt-Id", id))
-        loop.execute { client.send(address, request, CallOptions(timeoutMs, MAX_IDLE_MS), Collector(done)) }
+        return send(request, CallOptions(timeoutMs, MAX_IDLE_MS))
+    }
+
+    /** Sends a request to the path of [id], but without the id. */
+    fun callWithoutId(id: String): Outcome =
+        send(
+            OutboundRequest(HttpMethod.POST, "/$id", newHeaders(), HttpBody.EMPTY),
+            CallOptions(timeoutMs, MAX_IDLE_MS, pooled = false),
+        )
+
+    private fun send(
+        request: OutboundRequest,
+        options: CallOptions,
+    ): Outcome {
+        val done = CompletableFuture<Outcome>()
+        loop.execute { client.send(address, request, options, Collector(done)) }
         return done.completeOnTimeout(TIMED_OUT, timeoutMs.toLong(), TimeUnit.MILLISECONDS).join()
     }
 
