Fail a response whose trailers are the head of another one

What callers saw: 504 at the deadline, though the worker had answered, or a success whose end was missing.

Cause: a copy that is cut after `0\r` or `0\r\n` takes the head of the next response as its trailers, which nothing looked at. With a body the rest is malformed, and the call failed; without one, nothing was left of it.

Evidence, before the fix, with a deadline of 3 s: LateCopyTest: the call behind a copy of which the last 3 bytes are missing waits until its deadline; a chunked response whose trailers hold an `Attempt-Id` counts as a success.

Fix: trailers with the correlation header, or with a status line in a value, are a failure at once, of late responses as of awaited ones.

--- a/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
@@ -4,7 +4,7 @@
  * chunks is complete only if the peer has ended the connection in an orderly way: a connection that ends for any other
  * reason says nothing about it. A late response to an earlier call is recognised by its correlation header and dropped;
  * one without this header cannot be attributed. What is dropped, late and interim responses, is bounded. A response
- * whose body contains the head of another one is not whole.
+ * whose body or trailers contain the head of another one is not whole.
  */
 package auburnhall.http
 
@@ -258,6 +258,7 @@
 
         private fun onContent(content: HttpContent) {
             when {
+                content is LastHttpContent && content.holdsHead(correlation) -> fail(this, HEAD_IN_TRAILERS)
                 dropped.active -> dropped.onContent(content)
                 otherHead?.isIn(content.content()) == true -> onOtherHead(content.content())
                 else -> onOwnContent(content)
@@ -283,6 +284,7 @@
 
     private companion object {
         const val HEAD_IN_BODY = "a head within the body of a response"
+        const val HEAD_IN_TRAILERS = "a head within the trailers of a response"
         const val MAX_LINE_BYTES = 8_192
         const val MAX_HEAD_BYTES = 16_384
         const val FIRST_FINAL_STATUS = 200
--- a/http/src/main/kotlin/auburnhall/http/ResponseHeads.kt
+++ b/http/src/main/kotlin/auburnhall/http/ResponseHeads.kt
@@ -7,6 +7,7 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
 
 /** How the response states where its body ends. */
 internal fun HttpResponse.framing(): Framing =
@@ -37,6 +38,12 @@
         else -> null
     }
 
+/** Whether the trailers contain the head of another response, since the end of this one is missing. */
+internal fun LastHttpContent.holdsHead(correlation: Correlation?): Boolean =
+    trailingHeaders().any { (name, value) ->
+        name.equals(correlation?.header, ignoreCase = true) || STATUS_LINE.containsMatchIn(value)
+    }
+
 /** A search for other responses in the body, which spell the header of [correlation] as this one does. */
 internal fun HttpResponse.searchForOther(correlation: Correlation): HeadSearch =
     HeadSearch(headers().names().first { it.equals(correlation.header, ignoreCase = true) } + ":")
--- a/http/src/test/kotlin/auburnhall/http/LateCopyTest.kt
+++ b/http/src/test/kotlin/auburnhall/http/LateCopyTest.kt
@@ -121,7 +121,37 @@
         }
     }
 
+    /** Guards against a response whose head is read as the trailers of a copy, and whose body as the next response. */
+    @Test
+    fun `a copy cut before the end of its trailers does not take the next head, nor hold its call`() {
+        val copy = { id: String -> head(id) + "Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n" }
+        val outcomes =
+            callAfterCopies(ROUNDS) { id, earlier, socket ->
+                val empty = "${head(id)}Content-Length: 0\r\n\r\n"
+                val cut = 1 + id.removePrefix("next").toInt() % TRAILER_BYTES
+                socket.say(copy(earlier).dropLast(cut) + empty)
+            }
+        outcomes.forEach { (id, outcome) ->
+            assertTrue(outcome == Outcome(OK, "") || outcome.failure != null, "$id: $outcome")
+            assertTrue(outcome.failure != NO_RESPONSE, "$id waited until its deadline")
+        }
+    }
+
+    /** Guards against trailers that are the head of a second copy of the same response. */
+    @Test
+    fun `a response whose trailers are the head of another one is a failure`() {
+        worker.serve { id, _, socket ->
+            val broken = "${head(id)}Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n"
+            socket.say(broken + if (id == "id") "Attempt-Id: a\r\n\r\n" else response(id))
+        }
+        listOf("id", "copy").forEach { id ->
+            val outcome = worker.call(id)
+            assertTrue(outcome.failure != null && outcome.failure != NO_RESPONSE, "$id: $outcome")
+        }
+    }
+
     private companion object {
+        const val TRAILER_BYTES = 6
         const val TIMEOUT_MS = 3_000
         const val ROUNDS = 5
         const val PAUSE_MS = 20L
