Fail a response whose rest is the beginning of its second copy

What callers saw: 200 with a body of the right length, of which the last bytes are the beginning of a status line.

Cause: a worker that breaks its own response off and begins it again fills the announced length with the head of the second one.

Evidence, before the fix: LateCopyTest: a response of which the last byte is missing gets `the response to nH`.

Fix: the search for a second head also goes through bodies that state their end, for the request's own id, and on into the bytes behind the body. A whole second copy behind a whole response changes nothing.

What remains: a cut response whose copy arrives in a later read than its missing bytes; one that is followed by other bytes.

--- a/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
@@ -110,7 +110,7 @@
 
     private fun complete(finished: ActiveCall) {
         call = null
-        val surplus = decoder.hasUndecodedBytes
+        val surplus = decoder.undecoded.isReadable
         if (surplus) reportStray(StrayKind.BEHIND_RESPONSE)
         val reusable = pooled && finished.keepAlive && finished.written && error == null && !surplus
         if (reusable) {
@@ -250,7 +250,7 @@
         private fun accept(response: HttpResponse) {
             step = CallStep.READ_BODY
             framing = response.framing()
-            otherHead = correlation?.takeIf { framing == Framing.CLOSE }?.let { response.searchForOther(it) }
+            otherHead = correlation?.let { response.searchForOther(it) }
             keepAlive = HttpUtil.isKeepAlive(response) && framing != Framing.CLOSE
             idleLimitMs = response.idleLimitMs()
             listener.onHead(response.status().code(), response.headers(), framing)
@@ -277,8 +277,11 @@
         }
 
         private fun onLastContent() {
-            val complete = framing != Framing.CLOSE || endedByPeer
-            if (complete) complete(this) else failUnfinished(this)
+            when {
+                framing == Framing.CLOSE && !endedByPeer -> failUnfinished(this)
+                otherHead?.endsIn(decoder.undecoded) == true -> fail(this, HEAD_IN_BODY)
+                else -> complete(this)
+            }
         }
     }
 
--- a/http/src/main/kotlin/auburnhall/http/HeadSearch.kt
+++ b/http/src/main/kotlin/auburnhall/http/HeadSearch.kt
@@ -11,7 +11,7 @@
 
 /** Looks for a head with a line that begins with [field], in the parts of a body in their order. */
 internal class HeadSearch(
-    field: String,
+    private val field: String,
 ) {
     private val statusLine = STATUS_LINE.newSearchProcessor()
     private val head by lazy(LazyThreadSafetyMode.NONE) { HeadReader(field) }
@@ -22,6 +22,9 @@
     var bytesBefore = 0
         private set
 
+    /** Whether such a head has begun in the parts before, and has its field in [rest], which is not consumed. */
+    fun endsIn(rest: ByteBuf): Boolean = isIn(rest) && !HeadSearch(field).isIn(rest)
+
     /** Whether such a head has been found with the bytes of [part], which are not consumed. */
     fun isIn(part: ByteBuf): Boolean {
         var from = part.readerIndex()
--- a/http/src/main/kotlin/auburnhall/http/ResponseDecoder.kt
+++ b/http/src/main/kotlin/auburnhall/http/ResponseDecoder.kt
@@ -3,6 +3,7 @@
  */
 package auburnhall.http
 
+import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpResponse
@@ -13,8 +14,8 @@
     config: HttpDecoderConfig,
     private val isToHead: (HttpResponse) -> Boolean,
 ) : HttpResponseDecoder(config) {
-    /** Whether bytes were received that are not yet part of a decoded message. */
-    val hasUndecodedBytes: Boolean get() = actualReadableBytes() > 0
+    /** Bytes that were received and are not yet part of a decoded message. */
+    val undecoded: ByteBuf get() = internalBuffer()
 
     override fun isContentAlwaysEmpty(message: HttpMessage): Boolean =
         super.isContentAlwaysEmpty(message) || (message is HttpResponse && isToHead(message))
--- a/http/src/main/kotlin/auburnhall/http/ResponseHeads.kt
+++ b/http/src/main/kotlin/auburnhall/http/ResponseHeads.kt
@@ -44,9 +44,14 @@
         name.equals(correlation?.header, ignoreCase = true) || STATUS_LINE.containsMatchIn(value)
     }
 
-/** A search for other responses in the body, which spell the header of [correlation] as this one does. */
-internal fun HttpResponse.searchForOther(correlation: Correlation): HeadSearch =
-    HeadSearch(headers().names().first { it.equals(correlation.header, ignoreCase = true) } + ":")
+/**
+ * A search for other responses in the body, which spell the header of [correlation] as this one does: for a second copy
+ * where the body states its end, and so has no room for more than the beginning of one; else for any response.
+ */
+internal fun HttpResponse.searchForOther(correlation: Correlation): HeadSearch {
+    val header = headers().names().first { it.equals(correlation.header, ignoreCase = true) }
+    return HeadSearch(if (framing() == Framing.CLOSE) "$header:" else "$header: ${correlation.value}")
+}
 
 /**
  * Whether a status line stands within the head. It then consists of the beginning of one response, broken off, and of
--- a/http/src/test/kotlin/auburnhall/http/LateCopyTest.kt
+++ b/http/src/test/kotlin/auburnhall/http/LateCopyTest.kt
@@ -150,6 +150,16 @@
         }
     }
 
+    /** Guards against a body whose missing rest is the beginning of a second copy. */
+    @Test
+    fun `a response cut inside its length and followed by a second copy is a failure`() {
+        worker.serve { id, _, socket -> socket.say(response(id).dropLast(id.removePrefix("n").toInt()) + response(id)) }
+        for (cut in 1..BODY_BYTES) {
+            val outcome = worker.call("n$cut")
+            assertTrue(outcome.failure != null && outcome.failure != NO_RESPONSE, "n$cut: $outcome")
+        }
+    }
+
     private companion object {
         const val TRAILER_BYTES = 6
         const val TIMEOUT_MS = 3_000
