--- a/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
@@ -49,7 +49,7 @@
     fun end() {
         if (queue.ending.begun) return
         queue.receiver.close()
-        queue.ending.linger()
+        queue.ending.endIdle()
     }
 
     override fun channelActive(ctx: ChannelHandlerContext) {
--- a/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
+++ b/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
@@ -1,10 +1,13 @@
 /*
  * Ends a caller's connection so that the caller receives what was handed over before. A socket that is closed while its
  * peer still sends is reset, and a reset drops what the operating system has not sent yet: so only the output is shut
- * down at first, and what arrives is read and dropped until the caller closes the connection.
+ * down at first, and what arrives is read and dropped until the caller closes the connection. An idle connection that
+ * has carried only short responses is closed at once: a request that crosses the close is not read then, so that its
+ * caller knows that it was not run.
  */
 package auburnhall.http
 
+import io.netty.buffer.ByteBufHolder
 import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.socket.SocketChannel
@@ -32,6 +35,12 @@
     var unsentResponses = 0
         private set
 
+    /** Bytes of the response that is being handed over. */
+    private var responseBytes = 0L
+
+    /** Whether the operating system may hold a long response which the caller has not read. */
+    private var hasSentLong = false
+
     private val peer: String
         get() =
             context
@@ -41,15 +50,19 @@
                 .orEmpty()
 
     /** Hands [message] over to the channel. */
-    fun write(message: Any): ChannelFuture =
-        context.writeAndFlush(message).addListener {
+    fun write(message: Any): ChannelFuture {
+        if (message is ByteBufHolder) responseBytes += message.content().readableBytes()
+        if (responseBytes > MAX_SHORT_RESPONSE_BYTES) hasSentLong = true
+        return context.writeAndFlush(message).addListener {
             val cause = it.cause()
             if (cause != null && cause !is IOException) onWriteError(cause)
         }
+    }
 
     /** A response was handed over as [written], and the connection goes on. */
     fun onHandedOver(written: ChannelFuture) {
         unsentResponses++
+        responseBytes = 0
         written.addListener {
             unsentResponses--
             timeouts.onActivity()
@@ -93,8 +106,12 @@
     /** Reports an unexpected error, which ends only the request that it belongs to. */
     fun reportError(cause: Throwable) = server.onHandlerError(HandlerError(peer, describe(cause)))
 
-    /** Ends the connection, on which everything is sent. */
-    fun linger() {
+    /** Ends the connection, on which nothing is in progress. */
+    fun endIdle() {
+        if (hasSentLong) linger() else context.close()
+    }
+
+    private fun linger() {
         begun = true
         timeouts.onActivity()
         (context.channel() as SocketChannel).shutdownOutput()
@@ -104,5 +121,8 @@
     private companion object {
         /** Longest wait for a caller to read what the operating system still holds, a few megabytes, and to close. */
         const val MAX_LINGER_MS = 5_000L
+
+        /** Longest body that a caller has received by the time its connection counts as idle. */
+        const val MAX_SHORT_RESPONSE_BYTES = 65_536L
     }
 }
--- a/http/src/test/kotlin/auburnhall/http/ConnectionEndTest.kt
+++ b/http/src/test/kotlin/auburnhall/http/ConnectionEndTest.kt
@@ -5,8 +5,11 @@
 import auburnhall.core.Clock
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertThrows
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import java.io.IOException
+import java.net.Socket
 import java.util.concurrent.TimeUnit
 
 /** A caller sends more while its connection ends, before it has read the response to its order. */
@@ -81,11 +84,31 @@
         }
     }
 
+    /** Guards against a request that is read and dropped, so that its caller cannot tell whether it was run. */
+    @Test
+    fun `a request that crosses the close of an idle connection after a short response is reset`() {
+        Socket("127.0.0.1", server.port).use { caller ->
+            caller.soTimeout = LATE_MS.toInt()
+            val request = "GET /$SHORT_BYTES HTTP/1.1\r\nHost: a\r\n\r\n".toByteArray()
+            caller.getOutputStream().write(request)
+            while (caller.getInputStream().read() != SlowSocket.ORDER_BYTE.code) Unit
+            caller.getInputStream().readNBytes(SHORT_BYTES - 1)
+            pause()
+            loop.submit { server.closeIdleConnections() }.get()
+            assertEquals(-1, caller.getInputStream().read())
+            caller.getOutputStream().write(request)
+            pause()
+            assertThrows(IOException::class.java) { caller.getOutputStream().write(request) }
+        }
+    }
+
     private fun pause() = TimeUnit.MILLISECONDS.sleep(PAUSE_MS)
 
     private companion object {
         const val OK = 200
 
+        const val SHORT_BYTES = 800
+
         /** As much as the operating system takes over at once. */
         const val ORDER_BYTES = 1_000_000
 
