--- a/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
+++ b/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
@@ -14,7 +14,7 @@
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 
-/** Follows what was handed over to a connection, and ends it. Used on its event loop; [context] is set before the rest. */
+/** Follows what was handed over to a connection, and ends it. Used on its event loop; [context] is set first. */
 internal class ConnectionEnd(
     private val server: HttpServer,
     private val timeouts: CallerTimeouts,
@@ -76,7 +76,7 @@
         written.addListener { linger() }
     }
 
-    /** Closes the connection at once because of [reason] and [cause], with [unanswered] requests; what is not sent is dropped. */
+    /** Closes the connection now because of [reason] and [cause]; drops what is unsent and [unanswered] requests. */
     fun giveUp(
         reason: CloseReason,
         cause: Throwable?,
--- a/http/src/main/kotlin/auburnhall/http/RequestQueue.kt
+++ b/http/src/main/kotlin/auburnhall/http/RequestQueue.kt
@@ -86,7 +86,7 @@
         serveNext()
     }
 
-    /** The current response has ended and was handed over as [written]; with [keepAlive], the next request is served. */
+    /** The current response was handed over as [written]; with [keepAlive], the next request is served. */
     fun onResponseEnded(
         keepAlive: Boolean,
         written: ChannelFuture,
@@ -98,7 +98,7 @@
         serveNext()
     }
 
-    /** Ends the connection behind what was handed over; the current response and the requests behind it get no answer. */
+    /** Ends the connection behind what was handed over; the requests in progress and behind it get no answer. */
     fun end(
         reason: CloseReason,
         cause: Throwable? = null,
