Test late refusals before the answer to an order (REFUSED, TWICE)

Callers would see 503 for an order that a worker runs, or the order runs at a second worker: a refusal of an earlier request, written once more on a kept connection, is taken for the answer to the order.

A late copy's statements (pause, leaving) do not count. No fix was needed.

Second attempts may also be refused without having run.

ScriptedOrders can write bytes before a response.

--- /dev/null
+++ b/gateway/src/test/kotlin/auburnhall/gateway/FaultyWorker.kt
@@ -0,0 +1,88 @@
+/*
+ * A worker on the loopback interface whose response to each request a test makes from the request and from what its
+ * connection has carried before.
+ */
+package auburnhall.gateway
+
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
+
+/** A request that a [FaultyWorker] has received; [earlier] are the ids of those before it on its connection. */
+data class WorkerRequest(
+    val head: String,
+    val earlier: List<String>,
+) {
+    /** The id of the request. */
+    val id: String get() = head.lines().first { it.startsWith("id: ") }.removePrefix("id: ")
+
+    /** Whether it asks for the events after one. */
+    val resumes: Boolean get() = "\r\nafter: " in head
+}
+
+/** Answers each request as [respond] says: [Script.Send], [Script.Close], [Script.Reset] or [Script.NoResponse]. */
+class FaultyWorker(
+    private val respond: (WorkerRequest) -> Script,
+) : AutoCloseable {
+    private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
+    private val open = CopyOnWriteArrayList<Socket>()
+
+    /** Where it listens. */
+    val port: Int get() = server.localPort
+
+    init {
+        daemon {
+            while (true) {
+                val socket = runCatching { server.accept() }.getOrNull() ?: break
+                open.add(socket)
+                daemon { socket.use { runCatching { serve(it) } }.also { open.remove(socket) } }
+            }
+        }
+    }
+
+    private fun serve(socket: Socket) {
+        socket.tcpNoDelay = true
+        val input = socket.getInputStream().buffered()
+        val earlier = ArrayList<String>()
+        while (true) {
+            val text = StringBuilder()
+            while (!text.endsWith("\r\n\r\n")) {
+                val next = input.read()
+                if (next < 0) return
+                text.append(next.toChar())
+            }
+            val request = WorkerRequest(text.toString(), earlier.toList())
+            if (!act(socket, respond(request))) return
+            earlier.add(request.id)
+        }
+    }
+
+    /** Returns whether the connection is kept. */
+    private fun act(
+        socket: Socket,
+        script: Script,
+    ): Boolean {
+        val text =
+            when (script) {
+                is Script.Send -> script.text
+                is Script.Close -> script.text
+                is Script.Reset -> script.text
+                else -> ""
+            }
+        socket.getOutputStream().write(text.toByteArray())
+        if (script is Script.Reset) socket.setSoLinger(true, 0)
+        return script is Script.Send || script is Script.NoResponse
+    }
+
+    override fun close() {
+        server.close()
+        open.forEach { it.close() }
+    }
+
+    private fun daemon(task: () -> Unit) = Thread(task).apply { isDaemon = true }.start()
+
+    private companion object {
+        const val BACKLOG = 100
+    }
+}
--- a/process-test/src/test/kotlin/auburnhall/process/ScriptedOrders.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/ScriptedOrders.kt
@@ -28,6 +28,10 @@
     @Volatile
     var surplus = ""
 
+    /** Bytes that precede the response to the request `id`, by the id of the one before it on its connection. */
+    @Volatile
+    var before: (earlierId: String, id: String) -> String = { _, _ -> "" }
+
     /** Ids of the requests that were executed. */
     val executed = CopyOnWriteArrayList<String>()
 
@@ -53,6 +57,7 @@
 
     private fun serve(socket: Socket) {
         val input = socket.getInputStream().buffered()
+        var earlier: String? = null
         while (true) {
             val head = readHead(input) ?: return
             val id = header(head, "attempt-id").orEmpty()
@@ -67,9 +72,11 @@
                     .split('/')
             TimeUnit.MILLISECONDS.sleep(delayMs.toLong())
             val answer =
-                "HTTP/1.1 ${statusOf(id)}\r\nContent-Type: text/plain\r\nAttempt-Id: $id\r\nResponse-Stamp: s\r\n" +
+                earlier?.let { before(it, id) }.orEmpty() +
+                    "HTTP/1.1 ${statusOf(id)}\r\nContent-Type: text/plain\r\nAttempt-Id: $id\r\nResponse-Stamp: s\r\n" +
                     "Content-Length: $bodyBytes\r\n\r\n"
             socket.getOutputStream().write(answer.toByteArray() + ByteArray(bodyBytes.toInt()) + surplus.toByteArray())
+            earlier = id
         }
     }
 
