--- a/process-test/src/test/kotlin/auburnhall/process/EntryProcessHandle.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/EntryProcessHandle.kt
@@ -66,6 +66,9 @@
     /** Whether the process runs. */
     val alive: Boolean get() = process.isAlive
 
+    /** The id of the process, for signals. */
+    val pid: Long get() = process.pid()
+
     /** Sends SIGTERM, which begins a planned stop. */
     fun terminate() = process.destroy()
 
@@ -109,7 +112,10 @@
         private const val PORT_COUNT = 2
         private const val TIMEOUT_S = 60L
         private const val POLL_INTERVAL_MS = 50L
-        private val JAR: Path = Path.of("..", "target", "auburnhall.jar").toAbsolutePath().normalize()
+
+        /** The program; the system property `entry.jar` names that of another commit. */
+        private val JAR: Path =
+            Path.of(System.getProperty("entry.jar") ?: "../target/auburnhall.jar").toAbsolutePath().normalize()
 
         /** A port that is free now. */
         fun freePort(): Int = ServerSocket(0).use { it.localPort }
--- /dev/null
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakChecker.kt
@@ -0,0 +1,134 @@
+/*
+ * Judges a day by what was seen at the ends of the connections alone. A call is only judged where no fault that the day
+ * made explains it: a process that was killed or stood still, a worker that broke off or stalled.
+ */
+package auburnhall.process
+
+import java.util.concurrent.TimeUnit
+
+/** What a finding breaks. */
+enum class SoakRule { MIXED, REFUSED_BUT_RUN, TWICE, ORDER, LOST, LOST_UNSENT, LOST_AFTER_STRAY, CONFIG, UNASKED }
+
+/** One breach of [rule] by request [id]. */
+data class Finding(
+    val seed: Int,
+    val rule: SoakRule,
+    val id: String,
+    val fault: FaultKind?,
+    val detail: String,
+) {
+    override fun toString() = "seed=$seed rule=$rule request=$id fault=${fault ?: "none"} $detail"
+}
+
+/** Checks [record]. */
+class SoakChecker(
+    private val record: SoakRecord,
+) {
+    private val runs = record.runs.groupBy { it.id }
+    private val events = Regex("id: (\\d+)\ndata: ([^\n]*)\n\n")
+
+    /** All findings. */
+    fun findings(): List<Finding> {
+        val unasked = record.unasked.map { (id, detail) -> Finding(record.seed, SoakRule.UNASKED, id, null, detail) }
+        return unasked + record.calls.flatMap { call -> SoakRule.entries.filter { breaks(it, call) }.map { found(it, call) } }
+    }
+
+    private fun found(
+        rule: SoakRule,
+        call: SoakCall,
+    ): Finding {
+        val last = record.faults.filter { it.atNanos <= call.endNanos && (it.process ?: call.process) == call.process }
+        val fault = last.maxByOrNull { it.atNanos }
+        val ms = fault?.let { TimeUnit.NANOSECONDS.toMillis(call.endNanos - it.atNanos) }
+        val detail = "$call; runs ${runsOf(call)}; last fault ${fault?.kind} ${fault?.detail} $ms ms before"
+        return Finding(record.seed, rule, call.id, fault?.kind, detail)
+    }
+
+    private fun runsOf(call: SoakCall) = runs[call.id].orEmpty()
+
+    private fun breaks(
+        rule: SoakRule,
+        call: SoakCall,
+    ): Boolean =
+        when (rule) {
+            SoakRule.MIXED -> isMixed(call)
+            SoakRule.REFUSED_BUT_RUN -> call.status in PROMISES && runsOf(call).any { it.executed }
+            SoakRule.TWICE -> call.route == SoakRoute.ORDERS && runsOf(call).count { it.executed } > 1
+            SoakRule.ORDER -> call.route.streaming && call.status == OK && isDisordered(call)
+            SoakRule.LOST -> isLost(call) && runsOf(call).none { it.afterStray }
+            SoakRule.LOST_AFTER_STRAY -> isLost(call) && runsOf(call).any { it.afterStray }
+            SoakRule.LOST_UNSENT -> isLostUnsent(call)
+            SoakRule.CONFIG -> isLate(call)
+            SoakRule.UNASKED -> false
+        }
+
+    private fun isMixed(call: SoakCall): Boolean {
+        val foreign = call.answerId.isNotEmpty() && call.answerId != call.id
+        val wrong =
+            when {
+                call.end == CallEnd.GARBLED -> true
+                call.status != OK -> false
+                call.route.streaming -> runsOf(call).none { it.status == OK } || hasForeignEvents(call)
+                call.end != CallEnd.ANSWERED -> false
+                else -> runsOf(call).none { it.status == OK && it.body == Digest.of(call.body) }
+            }
+        return foreign || wrong
+    }
+
+    private fun hasForeignEvents(call: SoakCall) =
+        events.findAll(call.body).any { it.groupValues[2] != "${call.id}/${it.groupValues[1]}" }
+
+    private fun isDisordered(call: SoakCall): Boolean {
+        val numbers = events.findAll(call.body).map { it.groupValues[1].toInt() }.toList()
+        val ended = call.end == CallEnd.ANSWERED
+        val complete = runsOf(call).any { it.end == RunEnd.WHOLE && it.lastEvent == numbers.size }
+        return numbers != (1..numbers.size).toList() || (ended && !complete)
+    }
+
+    private fun unanswered(call: SoakCall) =
+        call.end == CallEnd.CLOSED || call.end == CallEnd.RESET || call.end == CallEnd.CUT
+
+    private fun isLost(call: SoakCall): Boolean {
+        val sound = runsOf(call).isNotEmpty() && runsOf(call).all { it.end in SOUND_ENDS && it.fault != "CLOSE" }
+        return unanswered(call) && sound && inTime(call) && !excused(call) && !call.behindBroken
+    }
+
+    /** A request that was read, as the time shows, and that no worker got. */
+    private fun isLostUnsent(call: SoakCall): Boolean {
+        val fresh = call.end == CallEnd.CLOSED || call.end == CallEnd.RESET
+        val waited = call.tookMs - call.slowMs > UNREAD_MS
+        return fresh && waited && runsOf(call).isEmpty() && !excused(call) && !call.behindBroken && inTime(call)
+    }
+
+    private fun inTime(call: SoakCall) = call.tookMs < if (call.route.streaming) DEADLINE_MS else timeoutOf(call)
+
+    private fun excused(call: SoakCall): Boolean {
+        val killed = call.endNanos >= call.process.killedNanos
+        val frozen = call.process.frozenNanos.any { it < call.endNanos && call.sentNanos < it + AFTER_FREEZE_NANOS }
+        return killed || frozen
+    }
+
+    /** The longest time-out of the route that may be in force. */
+    private fun timeoutOf(call: SoakCall): Long {
+        val versions = record.timeouts.filter { it.first <= call.endNanos }
+        val before = versions.lastOrNull { it.first <= call.sentNanos - APPLY_NANOS }
+        return (versions.filter { it.first > call.sentNanos - APPLY_NANOS } + listOfNotNull(before)).maxOf { it.second }
+    }
+
+    private fun isLate(call: SoakCall): Boolean {
+        val waitedMs = TimeUnit.NANOSECONDS.toMillis(call.endNanos - call.turnNanos) - call.slowMs
+        val late = !call.route.streaming && waitedMs > timeoutOf(call) + LATE_MS
+        return late && !excused(call) && !call.behindBroken
+    }
+
+    private companion object {
+        const val OK = 200
+        val PROMISES = listOf(408, 421, 429, 503)
+        val SOUND_ENDS = listOf(RunEnd.WHOLE, RunEnd.CALLER_LEFT, RunEnd.RUNNING)
+        const val DEADLINE_MS = 7_800L
+        const val UNREAD_MS = 1_000L
+        const val LATE_MS = 500L
+        val APPLY_NANOS = TimeUnit.SECONDS.toNanos(3)
+        val AFTER_FREEZE_NANOS = TimeUnit.SECONDS.toNanos(3)
+    }
+}
--- a/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
@@ -40,6 +40,10 @@
     /** When requests arrived at the worker of the plain service, in milliseconds of the monotonic clock. */
     val orderTimesMs = CopyOnWriteArrayList<Long>()
 
+    /** What the streams of the model workers send. */
+    @Volatile
+    var streamScript: StreamScript = StreamScript()
+
     /** The scheduler of the event loop. */
     val scheduler: Scheduler = EventLoopScheduler(loop)
 
@@ -79,6 +83,9 @@
     /** Kills the worker with [id]. */
     fun kill(id: String) = scheduler.run { workers.first { it.identity.id == id }.kill() }
 
+    /** Starts the worker with [id] again, under the same id and without its membership. */
+    fun restart(id: String) = scheduler.run { workers.first { it.identity.id == id }.restart() }
+
     private fun onControlRequest(
         request: InboundRequest,
         response: ResponseWriter,
--- a/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
@@ -30,6 +30,23 @@
     val domain: String?,
 )
 
+/** What streams send; tests replace it to see each run and to break it off. */
+open class StreamScript {
+    /** [worker] begins to run [request], whose first event is [first]. */
+    open fun begin(
+        request: String,
+        worker: String,
+        first: Int,
+    ) = Unit
+
+    /** The data of event [number]; null breaks the stream off in the middle of that event. */
+    open fun data(
+        request: String,
+        worker: String,
+        number: Int,
+    ): String? = "n$number"
+}
+
 /** One worker of [platform]; runs on the platform's event loop thread. */
 class StandinWorker(
     val identity: WorkerIdentity,
@@ -52,10 +69,16 @@
     fun sharesReplicaWith(other: StandinWorker): Boolean =
         membership != null && membership?.epoch == other.membership?.epoch
 
-    /** Stops answering for good; the entry leaves the store later, as if its lease had expired. */
+    /** Stops answering until a [restart]; the entry leaves the store later, as if its lease had expired. */
     fun kill() {
         alive = false
-        platform.scheduler.after(ENTRY_EXPIRY_MS) { platform.store.remove(key) }
+        platform.scheduler.after(ENTRY_EXPIRY_MS) { if (!alive) platform.store.remove(key) }
+    }
+
+    /** Starts again under the same id. */
+    fun restart() {
+        alive = true
+        crash()
     }
 
     /** Resets all its streams, loses its membership and starts again at once, as a process that crashes. */
@@ -146,16 +169,18 @@
         if (platform.crashesAt(request.headers.get("Prompt-Prefix").orEmpty())) {
             platform.scheduler.after(EVENT_INTERVAL_MS, ::crash)
         } else {
-            val lastEventId = request.headers.get("Last-Event-Id")?.toInt() ?: 0
-            streamEvent(current, response, lastEventId + 1)
+            val first = (request.headers.get("Last-Event-Id")?.toInt() ?: 0) + 1
+            val id = request.headers.get("Attempt-Id").orEmpty()
+            platform.streamScript.begin(id, identity.id, first)
+            streamEvent(StreamRun(id, current, response), first)
         }
     }
 
     private fun streamEvent(
-        served: Membership,
-        response: ResponseWriter,
+        run: StreamRun,
         number: Int,
     ) {
+        val (_, served, response) = run
         platform.scheduler.after(EVENT_INTERVAL_MS) {
             val allMembersAlive = alive && served.members.all { platform.isAlive(it) }
             when {
@@ -167,14 +192,26 @@
                     openStreams.remove(response)
                     response.finish()
                 }
-                else -> {
-                    response.write(Unpooled.copiedBuffer("id: $number\ndata: n$number\n\n", Charsets.UTF_8))
-                    streamEvent(served, response, number + 1)
-                }
+                else -> sendEvent(run, number)
             }
         }
     }
 
+    private fun sendEvent(
+        run: StreamRun,
+        number: Int,
+    ) {
+        val data = platform.streamScript.data(run.request, identity.id, number)
+        if (data != null) {
+            run.response.write(Unpooled.copiedBuffer("id: $number\ndata: $data\n\n", Charsets.UTF_8))
+            streamEvent(run, number + 1)
+        } else {
+            run.response.write(Unpooled.copiedBuffer("id: $number\nda", Charsets.UTF_8))
+            platform.scheduler.after(EVENT_INTERVAL_MS) { run.response.abort() }
+            openStreams.remove(run.response)
+        }
+    }
+
     private fun publish() {
         if (alive) platform.store.put(key, buildJsonObject { putEntry() }.toString())
     }
@@ -193,6 +230,12 @@
         membership?.let { put("group", it.toJson(identity.id)) }
     }
 
+    private data class StreamRun(
+        val request: String,
+        val served: Membership,
+        val response: ResponseWriter,
+    )
+
     private data class Membership(
         val name: String,
         val epoch: Long,
