--- a/process-test/src/test/kotlin/auburnhall/process/SoakRecord.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakRecord.kt
@@ -15,6 +15,9 @@
     ORDERS("/orders/", false),
     LOOKUPS("/lookups/", false),
     FEEDS("/feeds/", true),
+
+    /** Streams that must not be resumed. */
+    NEWS("/news/", true),
     CHAT("/chat/", true),
 }
 
@@ -115,6 +118,9 @@
     /** Versions of the configuration: when they were written, with the time-out of the plain routes. */
     val timeouts = ConcurrentLinkedQueue<Pair<Long, Long>>()
 
+    /** Times at which the thread of the stand-in workers stood still. */
+    val standstills = ConcurrentLinkedQueue<Pair<Long, Long>>()
+
     /** What a worker got that it must not get. */
     val unasked = ConcurrentLinkedQueue<Pair<String, String>>()
 
