Soak: split files, judge lost answers while the soak stands still, form

A replica's run that its worker broke off counts as broken off, told by the stand-in; a standstill of the stand-in's thread excuses only streams of replicas, and lateness.

--- a/process-test/src/test/kotlin/auburnhall/process/FaultyWorker.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/FaultyWorker.kt
@@ -1,8 +1,6 @@
 /*
- * A worker of a plain service on raw sockets that behaves as the users' pages allow: it begins answers a second time
- * (whole or cut, at once or late, with or without the id), fails, refuses, breaks off, resets and stalls. What it does
- * with a request depends on the seed and the request's id alone. Paths: /ROUTE/DELAY_MS/SIZE, where the size is that of
- * the body, or the number of events.
+ * A worker of a plain service on raw sockets that behaves as the users' pages allow. What it does with a request
+ * depends on the seed and the request's id alone. Paths are /ROUTE/DELAY_MS/SIZE, the bytes of the body or the events.
  */
 package auburnhall.process
 
@@ -17,9 +15,6 @@
 import java.util.concurrent.atomic.AtomicInteger
 import kotlin.random.Random
 
-/** What a worker does with one request. */
-enum class Conduct { SOUND, COPY, FAIL, REFUSE, BREAK_OFF, RESET, STALL, CLOSE }
-
 /** The worker [name] of [service]; [faultShare] of its answers are not sound. */
 class FaultyWorker(
     private val platform: StandinPlatform,
@@ -132,11 +127,14 @@
             lateCopy?.let { output.write(it) }
             lateCopy = null
             val expected = ScriptedOrders.header(request.head, "expect-instance")
-            if (expected != null && expected != life.id) return misdirected(request)
-            if (request.route == null) {
-                output.write(responseHead("404 Not Found", request.id, "Content-Length: 0").toByteArray())
-                return true
+            return when {
+                expected != null && expected != life.id -> turnAway(request, "421 Misdirected Request")
+                request.route == null -> turnAway(request, "404 Not Found")
+                else -> run(request)
             }
+        }
+
+        private fun run(request: SoakRequest): Boolean {
             checkHeaders(request)
             val run = record.begin(request.id, life.id, strayed)
             val attempt = attempts.computeIfAbsent(request.id) { AtomicInteger() }.incrementAndGet()
@@ -145,14 +143,16 @@
             run.fault = conduct.name
             return runCatching { WorkerAnswer(this, request, run, random).give(conduct) }
                 .onFailure {
-                    if (!run.end.isFinal()) run.end = if (life.dead) RunEnd.BROKEN_OFF else RunEnd.CALLER_LEFT
+                    if (run.end == RunEnd.RUNNING) run.end = if (life.dead) RunEnd.BROKEN_OFF else RunEnd.CALLER_LEFT
                 }.getOrDefault(false) &&
                 !life.dead
         }
 
-        private fun misdirected(request: SoakRequest): Boolean {
-            val head = responseHead("421 Misdirected Request", request.id, "Not-Executed: 1\r\nContent-Length: 0")
-            output.write(head.toByteArray())
+        private fun turnAway(
+            request: SoakRequest,
+            status: String,
+        ): Boolean {
+            write(responseHead(status, request.id, "Not-Executed: 1\r\nContent-Length: 0"))
             return true
         }
 
@@ -297,31 +297,3 @@
         const val OK = 200
     }
 }
-
-/** What a worker reads of a request. */
-class SoakRequest(
-    val head: String,
-) {
-    private val path = head.lineSequence().first().split(' ')[1]
-    private val parts = path.split('/')
-    val id = ScriptedOrders.header(head, "attempt-id").orEmpty()
-    val route = SoakRoute.entries.firstOrNull { path.startsWith(it.prefix) }
-    val delayMs = parts.getOrNull(2)?.toLongOrNull() ?: 0L
-    val size = parts.getOrNull(3)?.toIntOrNull() ?: 0
-    val firstEvent = (ScriptedOrders.header(head, "last-event-id")?.toIntOrNull() ?: 0) + 1
-}
-
-/** Event [number] of the stream that answers [id]. */
-fun soakEvent(
-    id: String,
-    number: Int,
-) = "id: $number\ndata: $id/$number\n\n"
-
-private fun chunk(text: String) = "${text.length.toString(radix = 16)}\r\n$text\r\n"
-
-private fun RunEnd.isFinal() = this != RunEnd.RUNNING
-
-private fun Socket.resetAndClose() {
-    setSoLinger(true, 0)
-    close()
-}
--- a/process-test/src/test/kotlin/auburnhall/process/SoakCaller.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakCaller.kt
@@ -1,6 +1,6 @@
 /*
- * Callers on raw sockets. A caller keeps a connection until it ends, sends requests alone or pipelined, and may start to
- * read late. It records what it received and draws no conclusions.
+ * Callers on raw sockets. A caller keeps a connection until it ends, sends requests alone or pipelined, and may begin
+ * to read late. It records what it received and draws no conclusions.
  */
 package auburnhall.process
 
--- a/process-test/src/test/kotlin/auburnhall/process/SoakChecker.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakChecker.kt
@@ -1,6 +1,7 @@
 /*
  * Judges a day by what was seen at the ends of the connections alone. A call is only judged where no fault that the day
- * made explains it: a process that was killed or stood still, a worker that broke off or stalled.
+ * made explains it: a process that was killed or stood still, a worker that broke off or stalled, and for streams of
+ * replicas, and for lateness, the time in which the soak itself stood still.
  */
 package auburnhall.process
 
@@ -53,16 +54,20 @@
     ): Boolean =
         when (rule) {
             SoakRule.MIXED -> isMixed(call)
-            SoakRule.REFUSED_BUT_RUN -> call.status in PROMISES && runsOf(call).any { it.executed }
-            SoakRule.TWICE -> call.route == SoakRoute.ORDERS && runsOf(call).count { it.executed } > 1
-            SoakRule.ORDER -> call.route.streaming && call.status == OK && isDisordered(call)
-            SoakRule.LOST -> isLost(call) && runsOf(call).none { it.afterStray }
-            SoakRule.LOST_AFTER_STRAY -> isLost(call) && runsOf(call).any { it.afterStray }
+            SoakRule.REFUSED_BUT_RUN -> isDenied(call)
+            SoakRule.TWICE -> isTwice(call)
+            SoakRule.ORDER -> isDisordered(call)
+            SoakRule.LOST -> isLost(call, afterStray = false)
+            SoakRule.LOST_AFTER_STRAY -> isLost(call, afterStray = true)
             SoakRule.LOST_UNSENT -> isLostUnsent(call)
             SoakRule.CONFIG -> isLate(call)
             SoakRule.UNASKED -> false
         }
 
+    private fun isDenied(call: SoakCall) = call.status in PROMISES && runsOf(call).any { it.executed }
+
+    private fun isTwice(call: SoakCall) = call.route == SoakRoute.ORDERS && runsOf(call).count { it.executed } > 1
+
     private fun isMixed(call: SoakCall): Boolean {
         val foreign = call.answerId.isNotEmpty() && call.answerId != call.id
         val wrong =
@@ -83,15 +88,20 @@
         val numbers = events.findAll(call.body).map { it.groupValues[1].toInt() }.toList()
         val ended = call.end == CallEnd.ANSWERED
         val complete = runsOf(call).any { it.end == RunEnd.WHOLE && it.lastEvent == numbers.size }
-        return numbers != (1..numbers.size).toList() || (ended && !complete)
+        val wrong = numbers != (1..numbers.size).toList() || (ended && !complete)
+        return call.route.streaming && call.status == OK && wrong
     }
 
     private fun unanswered(call: SoakCall) =
         call.end == CallEnd.CLOSED || call.end == CallEnd.RESET || call.end == CallEnd.CUT
 
-    private fun isLost(call: SoakCall): Boolean {
+    private fun isLost(
+        call: SoakCall,
+        afterStray: Boolean,
+    ): Boolean {
         val sound = runsOf(call).isNotEmpty() && runsOf(call).all { it.end in SOUND_ENDS && it.fault != "CLOSE" }
-        return unanswered(call) && sound && inTime(call) && !excused(call) && !call.behindBroken
+        val judged = unanswered(call) && inTime(call) && !excused(call) && !call.behindBroken
+        return judged && sound && runsOf(call).any { it.afterStray } == afterStray
     }
 
     /** A request that was read, as the time shows, and that no worker got. */
@@ -106,7 +116,7 @@
     private fun excused(call: SoakCall): Boolean {
         val killed = call.endNanos >= call.process.killedNanos
         val frozen = call.process.frozenNanos.any { it < call.endNanos && call.sentNanos < it + AFTER_FREEZE_NANOS }
-        return killed || frozen || besideStandstill(call)
+        return killed || frozen || (call.route == SoakRoute.CHAT && besideStandstill(call))
     }
 
     /** Whether the soak's own workers stood still during [call]. */
@@ -123,7 +133,7 @@
     private fun isLate(call: SoakCall): Boolean {
         val waitedMs = TimeUnit.NANOSECONDS.toMillis(call.endNanos - call.turnNanos) - call.slowMs
         val late = !call.route.streaming && waitedMs > timeoutOf(call) + LATE_MS
-        return late && !excused(call) && !call.behindBroken
+        return late && !excused(call) && !besideStandstill(call) && !call.behindBroken
     }
 
     private companion object {
--- a/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
@@ -84,7 +84,7 @@
     fun kill(id: String) = scheduler.run { workers.first { it.identity.id == id }.kill() }
 
     /** Starts the worker with [id] again, under the same id and without its membership. */
-    fun restart(id: String) = scheduler.run { workers.first { it.identity.id == id }.restart() }
+    fun restart(id: String) = scheduler.run { workers.first { it.identity.id == id }.crash() }
 
     private fun onControlRequest(
         request: InboundRequest,
--- a/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
@@ -75,20 +75,15 @@
     fun sharesReplicaWith(other: StandinWorker): Boolean =
         membership != null && membership?.epoch == other.membership?.epoch
 
-    /** Stops answering until a [restart]; the entry leaves the store later, as if its lease had expired. */
+    /** Stops answering until a [crash]; the entry leaves the store later, as if its lease had expired. */
     fun kill() {
         alive = false
         platform.scheduler.after(ENTRY_EXPIRY_MS) { if (!alive) platform.store.remove(key) }
     }
 
-    /** Starts again under the same id. */
-    fun restart() {
-        alive = true
-        crash()
-    }
-
-    /** Resets all its streams, loses its membership and starts again at once, as a process that crashes. */
+    /** Resets all its streams, loses its membership and starts again at once, also if it was killed. */
     fun crash() {
+        alive = true
         openStreams.forEach { it.abort() }
         openStreams.clear()
         membership = null
@@ -186,7 +181,8 @@
         run: StreamRun,
         number: Int,
     ) {
-        val (_, served, response) = run
+        val served = run.served
+        val response = run.response
         platform.scheduler.after(EVENT_INTERVAL_MS) {
             val allMembersAlive = alive && served.members.all { platform.isAlive(it) }
             when {
@@ -200,26 +196,15 @@
                     openStreams.remove(response)
                     response.finish()
                 }
-                else -> sendEvent(run, number)
+                run.send(number) -> streamEvent(run, number + 1)
+                else -> {
+                    openStreams.remove(response)
+                    platform.scheduler.after(EVENT_INTERVAL_MS) { response.abort() }
+                }
             }
         }
     }
 
-    private fun sendEvent(
-        run: StreamRun,
-        number: Int,
-    ) {
-        val data = platform.streamScript.data(run.request, identity.id, number)
-        if (data != null) {
-            run.response.write(Unpooled.copiedBuffer("id: $number\ndata: $data\n\n", Charsets.UTF_8))
-            streamEvent(run, number + 1)
-        } else {
-            run.response.write(Unpooled.copiedBuffer("id: $number\nda", Charsets.UTF_8))
-            platform.scheduler.after(EVENT_INTERVAL_MS) { run.response.abort() }
-            openStreams.remove(run.response)
-        }
-    }
-
     private fun publish() {
         if (alive) platform.store.put(key, buildJsonObject { putEntry() }.toString())
     }
@@ -238,11 +223,19 @@
         membership?.let { put("group", it.toJson(identity.id)) }
     }
 
-    private data class StreamRun(
+    private inner class StreamRun(
         val request: String,
         val served: Membership,
         val response: ResponseWriter,
-    )
+    ) {
+        /** Sends event [number]; false if the script breaks the stream off inside it. */
+        fun send(number: Int): Boolean {
+            val data = platform.streamScript.data(request, identity.id, number)
+            val text = if (data == null) "id: $number\nda" else "id: $number\ndata: $data\n\n"
+            response.write(Unpooled.copiedBuffer(text, Charsets.UTF_8))
+            return data != null
+        }
+    }
 
     private data class Membership(
         val name: String,
