--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -196,7 +196,8 @@
         content.readBytes(bytes)
         val fault =
             if (relaying) {
-                relay(bytes) ?: buffer.exceeded(events.pendingBytes, ResponseBuffers.MAX_EVENT_BYTES, "event")
+                relay(bytes)
+                events.fault ?: buffer.exceeded(events.pendingBytes, ResponseBuffers.MAX_EVENT_BYTES, "event")
             } else {
                 body.write(bytes)
                 buffer.exceeded(body.size(), ResponseBuffers.MAX_BODY_BYTES, "body")
@@ -207,15 +208,9 @@
         }
     }
 
-    /** Passes complete events on; returns why the stream cannot be relayed further, null if it can. */
-    private fun relay(bytes: ByteArray): String? {
-        val complete = events.add(bytes)
-        val own = complete.takeWhile { !it.isHead }
-        if (own.isNotEmpty()) relay(own)
-        return if (own.size < complete.size) "a head in place of an event" else null
-    }
-
-    private fun relay(completeEvents: List<StreamEvent>) {
+    private fun relay(bytes: ByteArray) {
+        val completeEvents = events.add(bytes)
+        if (completeEvents.isEmpty()) return
         if (!hasEvents) {
             firstEventAtMs = context.clock.nowMs()
             if (!released) context.load.onPromptRead(target.key, unreadTokens)
--- a/gateway/src/main/kotlin/auburnhall/gateway/EventSplitter.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/EventSplitter.kt
@@ -31,6 +31,10 @@
     var pendingBytes = 0
         private set
 
+    /** Why nothing that follows the returned events belongs to the stream; null while it does. */
+    var fault: String? = null
+        private set
+
     /** Whether bytes other than line breaks were received after the last complete event. */
     val hasPartialEvent: Boolean
         get() = (0 until pendingBytes).any { buffer[it] != LINE_FEED && buffer[it] != CARRIAGE_RETURN }
@@ -41,7 +45,7 @@
     /** Bytes received after the last complete event. */
     val remainder: ByteArray get() = buffer.copyOf(pendingBytes)
 
-    /** Appends [bytes] and returns the events that they complete. */
+    /** Appends [bytes] and returns the events that they complete, up to a head of a response. */
     fun add(bytes: ByteArray): List<StreamEvent> {
         val searched = pendingBytes
         append(bytes)
@@ -62,7 +66,10 @@
         }
         consecutiveNewlines = newlines
         discard(eventStart)
-        return events
+        val headAt = events.indexOfFirst { it.isHead }
+        if (headAt < 0) return events
+        fault = "a head in place of an event"
+        return events.subList(0, headAt)
     }
 
     private fun append(bytes: ByteArray) {
