--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -65,7 +65,7 @@
         return refusal != null || decide() !is Admission.Wait
     }
 
-    /** Checks the replica of the current attempt; returns when to check again, in milliseconds of the monotonic clock. */
+    /** Checks the replica of the current attempt; returns when to check again, in ms of the monotonic clock. */
     fun checkReplica(): Long = supervision.check()
 
     /** Ends the request if a part of its prompt is quarantined, unless a target has begun to respond to it. */
--- a/gateway/src/main/kotlin/auburnhall/gateway/ReplicaSupervision.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ReplicaSupervision.kt
@@ -47,7 +47,7 @@
         )
     }
 
-    /** Sends the request to another target if one takes it now and the retry budget allows it; else [current] goes on. */
+    /** Sends the request to another target if one takes it now and the budget allows it; else [current] goes on. */
     private fun move(current: Attempt) {
         val target = alternative() ?: return
         if (!request.retries.acquire("silent")) return
--- a/gateway/src/main/kotlin/auburnhall/gateway/Retries.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Retries.kt
@@ -1,8 +1,8 @@
 /*
  * Retries of one request within the retry budget of its service. Answers the loss of a replica under load: its streams
  * break at the same moment and use up the budget, which other requests give back a little later. A stream under way
- * waits for that, since giving up would lose what its caller has received; other requests end at once. It takes no retry
- * out of the budget before there is a target, so that those which find one are not held up.
+ * waits for that, since giving up would lose what its caller has received; other requests end at once. It takes no
+ * retry out of the budget before there is a target, so that those which find one are not held up.
  */
 package auburnhall.gateway
 
@@ -23,7 +23,7 @@
         return acquired
     }
 
-    /** As [tryNow], but a stream under way waits for a target and the budget; [giveUp] is called if it is not retried. */
+    /** As [tryNow], but a stream under way waits for a target and the budget; calls [giveUp] if it is not retried. */
     fun whenAllowed(
         reason: String,
         giveUp: () -> Unit,
