--- a/process-test/src/test/kotlin/auburnhall/process/SoakChecker.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakChecker.kt
@@ -35,6 +35,13 @@
             record.calls.flatMap { call -> SoakRule.entries.filter { breaks(it, call) }.map { found(it, call) } }
     }
 
+    /** Calls that failed with 502 or 504 though each worker that ran them gave a whole answer; no rule forbids it. */
+    fun replaced(): List<String> =
+        record.calls
+            .filter { it.status in FAILURES && !excused(it) }
+            .filter { call -> runsOf(call).isEmpty() || runsOf(call).all { it.end == RunEnd.WHOLE && it.status == OK } }
+            .map { "replaced ${it.id} $it; runs ${runsOf(it)}" }
+
     private fun found(
         rule: SoakRule,
         call: SoakCall,
@@ -139,6 +146,7 @@
     private companion object {
         const val OK = 200
         val PROMISES = listOf(408, 421, 429, 503)
+        val FAILURES = listOf(502, 504)
         val SOUND_ENDS = listOf(RunEnd.WHOLE, RunEnd.CALLER_LEFT, RunEnd.RUNNING)
         const val DEADLINE_MS = 7_800L
         const val UNREAD_MS = 1_000L
--- a/process-test/src/test/kotlin/auburnhall/process/SoakTest.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakTest.kt
@@ -44,6 +44,7 @@
         println("seed $seed: ${record.calls.size} calls $ends; $excused beside a standstill of the soak")
         println("seed $seed: faults ${record.faults.groupingBy { it.kind }.eachCount()}")
         println("seed $seed: runs ${record.runs.groupingBy { "${it.fault} ${it.end}" }.eachCount().toSortedMap()}")
+        checker.replaced().forEach { println("seed $seed: $it") }
         findings.forEach { println(it) }
         return findings
     }
