Pass on bodies that echo a request, and responses to HEAD without a length

Callers would get 502 for a sound answer whose body holds the request that it answers, with its id: the search for a second response took the version in a request line for the beginning of a status line. It now demands a status.

--- a/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
@@ -249,7 +249,7 @@
 
         private fun accept(response: HttpResponse) {
             step = CallStep.READ_BODY
-            framing = response.framing()
+            framing = if (isHead) Framing.LENGTH else response.framing()
             otherHead = correlation?.let { response.searchForOther(it) }
             keepAlive = HttpUtil.isKeepAlive(response) && framing != Framing.CLOSE
             idleLimitMs = response.idleLimitMs()
--- a/http/src/main/kotlin/auburnhall/http/HeadSearch.kt
+++ b/http/src/main/kotlin/auburnhall/http/HeadSearch.kt
@@ -1,6 +1,7 @@
 /*
  * Finds the head of another response in a body, which then is not the body that its peer meant. A body may mention a
- * status line, so only one that a certain field follows within the same head counts.
+ * status line, so only one that a certain field follows within the same head counts. A body may also echo a request,
+ * whose first line has a version but no status.
  */
 package auburnhall.http
 
@@ -13,7 +14,7 @@
 internal class HeadSearch(
     private val field: String,
 ) {
-    private val statusLine = STATUS_LINE.newSearchProcessor()
+    private val statusLine = StatusLineReader()
     private val head by lazy(LazyThreadSafetyMode.NONE) { HeadReader(field) }
     private var inHead = false
     private var found = false
@@ -32,7 +33,7 @@
         while (!found && from < part.writerIndex()) {
             val end = part.forEachByte(from, part.writerIndex() - from, if (inHead) head else statusLine)
             if (end < 0) return false
-            if (!inHead) bytesBefore = maxOf(0, end + 1 - STATUS_LINE_START.length - part.readerIndex())
+            if (!inHead) bytesBefore = maxOf(0, end + 1 - StatusLineReader.LENGTH - part.readerIndex())
             switch()
             from = end + 1
         }
@@ -44,10 +45,41 @@
         inHead = !inHead
         if (inHead) head.reset() else statusLine.reset()
     }
+}
+
+/** Reads up to the status of a status line. */
+private class StatusLineReader : ByteProcessor {
+    private val version = searchFor(VERSION)
+
+    /** Number of characters that were read behind the version; null before it. */
+    private var behindVersion: Int? = null
+
+    override fun process(value: Byte): Boolean {
+        val read = behindVersion
+        when {
+            read == null -> if (!version.process(value)) behindVersion = 0
+            value.toInt().toChar() in STATUS[read] -> behindVersion = read + 1
+            else -> restart(value)
+        }
+        return behindVersion != STATUS.size
+    }
+
+    private fun restart(value: Byte) {
+        reset()
+        version.process(value)
+    }
+
+    fun reset() {
+        version.reset()
+        behindVersion = null
+    }
+
+    companion object {
+        private const val VERSION = "HTTP/1."
+        private val STATUS = listOf('0'..'1', ' '..' ', '1'..'5', '0'..'9', '0'..'9')
 
-    private companion object {
-        const val STATUS_LINE_START = "HTTP/1."
-        val STATUS_LINE = AbstractSearchProcessorFactory.newKmpSearchProcessorFactory(STATUS_LINE_START.toByteArray())
+        /** Bytes from the beginning of the status line to the end of its status. */
+        val LENGTH = VERSION.length + STATUS.size
     }
 }
 
