Keep a stream at its silent replica while the others are full (LOST)

A stream was moved from its silent replica to a full one, which rejected it; its attempts were used up, and it was cut after event 2 of 3, though its first worker went on. Cause: a full target counted as one that takes the request.

Now only a target with a free slot does, unless the controller tears the replica down.

--- a/gateway/src/main/kotlin/auburnhall/gateway/ReplicaSupervision.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ReplicaSupervision.kt
@@ -49,7 +49,7 @@
 
     /** Sends the request to another target if one takes it now and the budget allows it; else [current] goes on. */
     private fun move(current: Attempt) {
-        val target = alternative() ?: return
+        val target = alternative(current.target.key) ?: return
         if (!request.retries.acquire("silent")) return
         current.cancel()
         state.detach(current)
@@ -57,11 +57,12 @@
         request.send(target)
     }
 
-    private fun alternative(): Target? {
+    /** A target that takes the request now; one that is full only if the controller tears the replica of [key] down. */
+    private fun alternative(key: TargetKey): Target? {
         if (state.crashes.isQuarantined || !state.hasAlternative()) return null
         return when (val choice = state.choose()) {
             is Choice.Send -> choice.target
-            is Choice.Full -> choice.target
+            is Choice.Full -> choice.target.takeIf { context.health.isLost(key) }
             is Choice.Limited, is Choice.None -> null
         }
     }
--- a/gateway/src/test/kotlin/auburnhall/gateway/StalledStreamTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/StalledStreamTest.kt
@@ -57,6 +57,19 @@
         assertTrue("request.retried" !in events.names)
     }
 
+    @Test
+    fun `a stream goes on at its silent replica while the other one is full`() {
+        val fill = {
+            val target =
+                context.state.targets
+                    .of("model", "m")
+                    .single { it.worker.address.port == other.port }
+            repeat(2 * target.slots) { context.load.begin(target.key, 0) }
+        }
+        assertWhole(callStalled(fill, ready::countDown))
+        assertEquals(0, other.requests.size)
+    }
+
     @Test
     fun `a stream is moved from its silent replica once the retry budget allows it`() {
         assertWhole(callStalled(::useUpBudget) { repeat(2) { budget.onRequest() } })
