Send orders to workers on connections of their own

Probes, which are many and change nothing, stay on shared connections; a repeated report is one probe old at most.

--- a/http/src/main/kotlin/auburnhall/http/BufferedHttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/BufferedHttpClient.kt
@@ -29,11 +29,15 @@
     ) : BufferedResult
 }
 
-/** Makes calls that end within a timeout. */
+/** Makes calls that end within a timeout, on connections of their own unless they are [pooled]. */
 class BufferedHttpClient(
     private val client: HttpClient,
     private val scheduler: Scheduler,
+    private val pooled: Boolean = true,
 ) {
+    /** Makes calls on connections of their own, on which no response to another call can be late. */
+    val unpooled: BufferedHttpClient get() = BufferedHttpClient(client, scheduler, pooled = false)
+
     /**
      * Sends [request] to [peer]; [done] gets the result after at most [timeoutMs] milliseconds. The call fails when the
      * body of the response has more than [maxBodyBytes] bytes.
@@ -46,7 +50,7 @@
         done: (BufferedResult) -> Unit,
     ): OutboundCall {
         val collector = ResponseCollector(peer, maxBodyBytes, done)
-        val options = CallOptions(timeoutMs.toInt(), MAX_CONNECTION_IDLE_MS)
+        val options = CallOptions(timeoutMs.toInt(), MAX_CONNECTION_IDLE_MS, pooled)
         val call = client.send(peer, request, options, collector)
         collector.call = call
         collector.timeoutTask =
