--- a/entry/src/main/kotlin/auburnhall/entry/ConnectionObserver.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ConnectionObserver.kt
@@ -11,18 +11,19 @@
 import auburnhall.http.HttpServer
 import auburnhall.http.StrayBytes
 
-/** Reports to [listener] and [metrics]. Traffic thread only. */
+/** Reports to [listener] and [metrics]. Each thread has its own. */
 internal class ConnectionObserver(
     private val listener: EventListener,
     private val metrics: EntryMetrics,
 ) {
-    /** Observes the connections of [callers] and those of [client] to workers. */
-    fun observe(
-        callers: HttpServer,
-        client: HttpClient,
-    ) {
+    /** Observes the connections of callers to [callers]. */
+    fun observe(callers: HttpServer) {
         callers.onCut = ::onCut
         callers.onHandlerError = { listener.log("caller.handler_error", "peer" to it.peer, "cause" to it.cause) }
+    }
+
+    /** Observes the connections of [client]. */
+    fun observe(client: HttpClient) {
         client.onStrayBytes = ::onStrayBytes
     }
 
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -89,6 +89,7 @@
 
     private fun controlPlane(): ControlPlane {
         val client = HttpClient(controlLoop, clock)
+        ConnectionObserver(log, metrics).observe(client)
         val bufferedClient = BufferedHttpClient(client, control)
         val store = HttpStore(client, bufferedClient) { settings.storeAddress }
         val context = ControlContext(settings, store, clock, control, random, log)
--- a/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
@@ -113,7 +113,9 @@
         callers.onMemoryRefusal = {
             listener.log("request.no_memory", "peer" to it.peer, "held_bytes" to it.heldBytes, "limit" to it.limitBytes)
         }
-        ConnectionObserver(listener, metrics).observe(callers, client)
+        val observer = ConnectionObserver(listener, metrics)
+        observer.observe(callers)
+        observer.observe(client)
         metrics.gauge(
             "auburnhall_request_body_bytes",
             "Bytes of memory that the bodies of callers' requests take.",
