--- a/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
+++ b/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
@@ -106,9 +106,14 @@
     /** Reports an unexpected error, which ends only the request that it belongs to. */
     fun reportError(cause: Throwable) = server.onHandlerError(HandlerError(peer, describe(cause)))
 
-    /** Ends the connection, on which nothing is in progress. */
+    /** Ends the connection, on which nothing is in progress; it is in progress again while its caller may still read. */
     fun endIdle() {
-        if (hasSentLong) linger() else context.close()
+        if (!hasSentLong) {
+            context.close()
+        } else {
+            unsentResponses++
+            linger()
+        }
     }
 
     private fun linger() {
