--- a/gateway/src/main/kotlin/auburnhall/gateway/RequestEnd.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/RequestEnd.kt
@@ -35,7 +35,7 @@
     /** Ends the request at its deadline: status 504 or an aborted stream if it may have been sent, else 503. */
     fun onDeadline() = endUnfinished("deadline", GATEWAY_TIMEOUT, null)
 
-    /** Ends the request because this process stops: status 502 or an aborted stream if it may be sent, else 503. */
+    /** Ends the request because this process stops: 502 or an aborted stream if it may have been sent, else 503. */
     fun onProcessStop() = endUnfinished("stopped", BAD_GATEWAY, RETRY_AFTER_MS)
 
     /** Ends the request because the caller has closed its connection. */
