--- a/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
+++ b/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
@@ -106,7 +106,7 @@
     /** Reports an unexpected error, which ends only the request that it belongs to. */
     fun reportError(cause: Throwable) = server.onHandlerError(HandlerError(peer, describe(cause)))
 
-    /** Ends the connection, on which nothing is in progress; it is in progress again while its caller may still read. */
+    /** Ends the connection, on which nothing is in progress; one whose caller may still read counts until then. */
     fun endIdle() {
         if (!hasSentLong) {
             context.close()
