--- a/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
+++ b/http/src/main/kotlin/auburnhall/http/ConnectionEnd.kt
@@ -1,9 +1,9 @@
 /*
  * Ends a caller's connection so that the caller receives what was handed over before. A socket that is closed while its
  * peer still sends is reset, and a reset drops what the operating system has not sent yet: so only the output is shut
- * down at first, and what arrives is read and dropped until the caller closes the connection. An idle connection that
- * has carried only short responses is closed at once: a request that crosses the close is not read then, so that its
- * caller knows that it was not run.
+ * down at first, and what arrives is read and dropped until the caller closes the connection. One that has carried only
+ * short responses is closed at once when it is idle or its last response has said so: a request that crosses the close
+ * is not read then, so that its caller knows that it was not run, and a stop does not wait for callers that have all.
  */
 package auburnhall.http
 
@@ -69,11 +69,17 @@
         }
     }
 
-    /** Ends the connection once [written] and what was handed over before are sent. */
-    fun after(written: ChannelFuture) {
+    /**
+     * Ends the connection once [written] and what was handed over before are sent. With [whileReceiving], the caller is
+     * not expected to know yet that the connection ends, and may send more.
+     */
+    fun after(
+        written: ChannelFuture,
+        whileReceiving: Boolean,
+    ) {
         begun = true
         unsentResponses++
-        written.addListener { linger() }
+        written.addListener { if (whileReceiving || hasSentLong) linger() else context.close() }
     }
 
     /** Closes the connection now because of [reason] and [cause]; drops what is unsent and [unanswered] requests. */
--- a/http/src/main/kotlin/auburnhall/http/RequestQueue.kt
+++ b/http/src/main/kotlin/auburnhall/http/RequestQueue.kt
@@ -93,7 +93,7 @@
     ) {
         current = null
         timeouts.onActivity()
-        if (!keepAlive) return endAfter(written)
+        if (!keepAlive) return endAfter(written, whileReceiving = false)
         ending.onHandedOver(written)
         serveNext()
     }
@@ -107,13 +107,16 @@
         val response = current
         current = null
         response?.onConnectionClosed()
-        endAfter(context.writeAndFlush(Unpooled.EMPTY_BUFFER))
+        endAfter(context.writeAndFlush(Unpooled.EMPTY_BUFFER), whileReceiving = true)
     }
 
-    private fun endAfter(written: ChannelFuture) {
+    private fun endAfter(
+        written: ChannelFuture,
+        whileReceiving: Boolean,
+    ) {
         receiver.close()
         queued.onEach { it.release() }.clear()
-        ending.after(written)
+        ending.after(written, whileReceiving)
         onWaitingChange()
     }
 
@@ -123,7 +126,9 @@
     }
 
     private fun serve(next: AggregationResult) {
-        if (next is AggregationResult.Refused) endAfter(context.writeAndFlush(refusal(next.status)))
+        if (next is AggregationResult.Refused) {
+            endAfter(context.writeAndFlush(refusal(next.status)), whileReceiving = true)
+        }
         if (next !is AggregationResult.Complete) return
         val response = CallerResponseWriter(context, next, this)
         current = response
