Soak: a stream resumed behind its last event is whole

Trace: a member of the first replica was lost between the last event and the end; the stream was resumed behind event 40, where the second worker had nothing to send but the end. The soak counted that run as still going on, and so no run as whole. It counts as whole now, unless it is broken off, too.

The check itself is unchanged: events in order, and an end only with a whole run that sent the last one.

--- a/process-test/src/test/kotlin/auburnhall/process/SoakDay.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakDay.kt
@@ -174,6 +174,7 @@
         val run = record.begin(request, worker)
         run.status = OK
         run.lastEvent = first - 1
+        if (first > LAST_EVENT) run.end = RunEnd.WHOLE
         open["$request@$worker"] = run
     }
 
