Give memory of a refused body to those that wait for it at the same moment

Cause: some 34 bodies held half of what they needed and together all the memory; each waited for the rest, and none could get it. When all callers send within a few milliseconds, as on this machine, the waits end in one pass of the event loop: the bytes that the first refusal released were passed on by a task that ran only after all the others had been refused, too.

Change: a wait that is over first takes what was just released, in the order of the line; and a body that has waited goes on only when the rest of its stated length fits, so that it is certain to end.

--- a/http/src/main/kotlin/auburnhall/http/RequestAggregator.kt
+++ b/http/src/main/kotlin/auburnhall/http/RequestAggregator.kt
@@ -54,6 +54,12 @@
     private var held = memory.open()
     private var head: HttpRequest? = null
 
+    /** Length of the body as the head states it; 0 if it states none. */
+    private var statedBytes = 0L
+
+    /** Whether the body has waited for memory; it then goes on only when all of it fits. */
+    private var waited = false
+
     /** When the first bytes of a request arrived; 0 while none has started and once its head is complete. */
     private var headStartedAtMs = 0L
     private var lastArrivalAtMs = clock.nowMs()
@@ -80,6 +86,7 @@
         head = null
         held.release()
         body = HttpBodyBuilder()
+        waited = false
     }
 
     /**
@@ -96,10 +103,10 @@
     private fun beginRequest(request: HttpRequest): AggregationResult {
         headStartedAtMs = 0L
         head = request
-        val contentLength = HttpUtil.getContentLength(request, 0L)
+        statedBytes = HttpUtil.getContentLength(request, 0L)
         return when {
             request.hasUnknownTransferCoding() -> refuse(HttpResponseStatus.BAD_REQUEST)
-            contentLength > limits.maxBodyBytes -> refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
+            statedBytes > limits.maxBodyBytes -> refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
             HttpUtil.is100ContinueExpected(request) -> AggregationResult.Continue
             else -> AggregationResult.Incomplete
         }
@@ -109,11 +116,17 @@
         val size = part.content().readableBytes()
         return when {
             body.size + size > limits.maxBodyBytes -> refuse(HttpResponseStatus.REQUEST_ENTITY_TOO_LARGE)
-            !held.raiseTo(body.allocatedWith(size)) -> AggregationResult.NoMemory
+            !held.raiseTo(neededWith(size)) -> AggregationResult.NoMemory.also { waited = true }
             else -> appendHeld(part)
         }
     }
 
+    /** Bytes of memory that the body needs to go on with [added] more bytes. */
+    private fun neededWith(added: Int): Int {
+        val rest = if (waited) statedBytes - body.size else 0L
+        return body.allocatedWith(maxOf(added, rest.toInt()))
+    }
+
     private fun appendHeld(part: HttpContent): AggregationResult {
         body.append(part.content())
         return if (part is LastHttpContent) takeRequest() else AggregationResult.Incomplete
@@ -126,6 +139,7 @@
         head = null
         held = memory.open()
         body = HttpBodyBuilder()
+        waited = false
         return complete
     }
 
--- a/http/src/main/kotlin/auburnhall/http/RequestMemory.kt
+++ b/http/src/main/kotlin/auburnhall/http/RequestMemory.kt
@@ -1,7 +1,8 @@
 /*
  * The memory that the bodies of callers' requests take, from their first byte until the response has been handed over.
  * Each body has a limit of its own; the sum over all connections needs one too. Designed for a few long bodies among
- * many short ones: long ones wait for each other, and there is always some room for the first bytes of others.
+ * many short ones: long ones wait for each other, and there is always some room for the first bytes of others. A body
+ * that has waited goes on only when the rest of it fits: many that each hold a part would wait for each other's end.
  */
 package auburnhall.http
 
@@ -55,10 +56,18 @@
         return true
     }
 
+    /**
+     * Gives bytes that were just released to those that wait for them. Of several waits that end at the same moment,
+     * the first releases the bytes that the next ones need.
+     */
+    fun passOnReleased() {
+        if (notifying) notifyWaiting()
+    }
+
     private fun notifyLater() {
         if (notifying || waiting.isEmpty()) return
         notifying = true
-        scheduler.run(::notifyWaiting)
+        scheduler.run(::passOnReleased)
     }
 
     private fun notifyWaiting() {
--- a/http/src/main/kotlin/auburnhall/http/RequestReceiver.kt
+++ b/http/src/main/kotlin/auburnhall/http/RequestReceiver.kt
@@ -31,7 +31,13 @@
         memory.await(this)
         listener.onWaitingChange()
         val wait = ++waits
-        memory.after(MAX_WAIT_MS) { if (wait == waits && waiting) listener.onMemoryTimeout() }
+        memory.after(MAX_WAIT_MS) { if (wait == waits && waiting) onWaitOver() }
+    }
+
+    /** Bytes that a request before this one in line has just released may be enough. */
+    private fun onWaitOver() {
+        memory.passOnReleased()
+        if (waiting) listener.onMemoryTimeout()
     }
 
     override fun onMemoryReleased(): Boolean {
