Exit when a port is taken; take the tests' ports from below those of outgoing connections

Cause: the tests asked the system for a free port, closed it and gave it to a process that binds it a second later. Such ports are those that outgoing connections get; another process took it meanwhile.

Ruled out: another test that uses a fixed port (there is none).

Change: a process that cannot listen exits with status 3 and one line. The tests take ports between 10,000 and 32,000.

--- a/entry/src/main/kotlin/auburnhall/entry/Main.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Main.kt
@@ -1,6 +1,7 @@
 /*
  * Main function of the entry process: reads the command line and the settings, starts the process and handles its
- * signals. Exits with status 2 when the command line or the settings are invalid.
+ * signals. Exits with status 2 when the command line or the settings are invalid, and with status 3 when it cannot listen
+ * at an address of the settings: the platform then starts it again, which a process that stays would prevent.
  */
 package auburnhall.entry
 
@@ -12,10 +13,12 @@
 import org.kohsuke.args4j.CmdLineException
 import org.kohsuke.args4j.CmdLineParser
 import sun.misc.Signal
+import java.io.IOException
 import kotlin.system.exitProcess
 
 private const val RELOAD_POLL_MS = 1_000L
 private const val EXIT_USAGE = 2
+private const val EXIT_CANNOT_LISTEN = 3
 
 /** Runs until SIGTERM; SIGHUP or a change of the settings file reloads the settings. */
 fun main(args: Array<String>) {
@@ -27,7 +30,12 @@
             .getOrElse { exitWithError(it) }
     Signal.handle(Signal("TERM")) { process.stop() }
     Signal.handle(Signal("HUP")) { process.reload("signal") }
-    process.start()
+    try {
+        process.start()
+    } catch (e: IOException) {
+        System.err.println("auburnhall: cannot listen: ${e.message}")
+        exitProcess(EXIT_CANNOT_LISTEN)
+    }
     while (true) {
         Thread.sleep(RELOAD_POLL_MS)
         process.reload("file")
--- a/process-test/src/test/kotlin/auburnhall/process/EntryProcessHandle.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/EntryProcessHandle.kt
@@ -17,13 +17,12 @@
     dir: Path,
     val host: String = "127.0.0.1",
     private val peerPort: Int = freePort(),
+    /** The port for callers. */
+    val port: Int = freePort(),
 ) : AutoCloseable {
-    private val freePorts = List(PORT_COUNT) { freePort() }
     private val settingsFile = dir.resolve("$name.json")
 
-    /** The port for callers. */
-    val port: Int = freePorts[0]
-    private val readinessPort = freePorts[1]
+    private val readinessPort = freePort()
 
     /** The process's standard output and error. */
     val logFile: Path = dir.resolve("$name.log")
@@ -109,7 +108,6 @@
 
     companion object {
         private const val OK_STATUS = 200
-        private const val PORT_COUNT = 2
         private const val TIMEOUT_S = 60L
         private const val POLL_INTERVAL_MS = 50L
 
@@ -117,7 +115,17 @@
         private val JAR: Path =
             Path.of(System.getProperty("entry.jar") ?: "../target/auburnhall.jar").toAbsolutePath().normalize()
 
-        /** A port that is free now. */
-        fun freePort(): Int = ServerSocket(0).use { it.localPort }
+        /**
+         * Below the ports that systems give to outgoing connections: one of those may be taken before
+         * the process binds it.
+         */
+        private val PORTS = 10_000..32_000
+        private val givenOut = HashSet<Int>()
+
+        /** A port that is free now, and that was not returned before. */
+        fun freePort(): Int =
+            generateSequence { PORTS.random() }.first { port ->
+                port !in givenOut && runCatching { ServerSocket(port).close() }.isSuccess && givenOut.add(port)
+            }
     }
 }
--- a/process-test/src/test/kotlin/auburnhall/process/ProcessTest.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/ProcessTest.kt
@@ -116,7 +116,17 @@
         assertEquals(0, processes[0].awaitExit())
     }
 
+    /** Guards against a process that neither serves nor ends, so that nothing starts it again. */
+    @Test
+    fun `a process whose port is taken exits with a message`() {
+        val second = EntryProcessHandle("p2", platform.storePort, dir, port = processes[0].port)
+        processes.add(second)
+        assertEquals(CANNOT_LISTEN, second.awaitExit())
+        second.awaitText("auburnhall: cannot listen: ")
+    }
+
     private companion object {
+        const val CANNOT_LISTEN = 3
         const val EVENTS_PER_STREAM = 40
         const val SOCKET_TIMEOUT_MS = 30_000
         const val SERVING_TIMEOUT_S = 30L
