--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -67,7 +67,7 @@
         endpoints.serveMetrics(controlLoop, Address(settings.host, options.metricsPort))
         serveRelay()
         control.run { plane.start() }
-        traffic.scheduler.run { publishSlotUtilization() }
+        traffic.scheduler.run { publishDemand() }
     }
 
     /** Reads the settings file again; [trigger] is logged when the settings changed or cannot be read. */
@@ -103,12 +103,12 @@
         server.bind(Address(settings.host, settings.peerPort)).sync()
     }
 
-    private fun publishSlotUtilization() {
+    private fun publishDemand() {
         if (plane.isLeading) {
-            val utilization = traffic.gateway.slotUtilization()
-            control.run { plane.replicas.onSlotUtilization(utilization) }
+            val demand = traffic.gateway.modelDemand()
+            control.run { plane.replicas.onDemand(demand) }
         }
-        traffic.scheduler.after(SLOT_UTILIZATION_PERIOD_MS) { publishSlotUtilization() }
+        traffic.scheduler.after(DEMAND_PERIOD_MS) { publishDemand() }
     }
 
     private fun exit() {
@@ -119,8 +119,8 @@
     private companion object {
         const val LOG_FLUSH_TIMEOUT_MS = 100L
 
-        /** Interval at which the controller process passes the slot utilization to its replica controllers. */
-        const val SLOT_UTILIZATION_PERIOD_MS = 500L
+        /** Interval at which the controller process passes the demand for the models to its replica controllers. */
+        const val DEMAND_PERIOD_MS = 500L
     }
 }
 
--- a/entry/src/main/kotlin/auburnhall/entry/ReplicaControllers.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ReplicaControllers.kt
@@ -3,6 +3,7 @@
  */
 package auburnhall.entry
 
+import auburnhall.core.ModelDemand
 import auburnhall.core.log
 import auburnhall.platform.WorkerClient
 import auburnhall.replica.ControlThreadStall
@@ -50,9 +51,9 @@
         controlStall.record()
     }
 
-    /** Share of the slots in use, 0 to 1 or more when overloaded, by service and model. */
-    fun onSlotUtilization(utilization: Map<String, Map<String, Double>>) {
-        controllers.forEach { (service, controller) -> controller.slotUtilization = utilization[service].orEmpty() }
+    /** The demand for the models at present, by service and model. */
+    fun onDemand(demand: Map<String, Map<String, ModelDemand>>) {
+        controllers.forEach { (service, controller) -> controller.demand = demand[service].orEmpty() }
     }
 
     /** Runs every replica controller and sends the orders that it returns. */
--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -3,6 +3,8 @@
  */
 package auburnhall.gateway
 
+import auburnhall.core.Model
+import auburnhall.core.ModelDemand
 import auburnhall.core.logRequest
 import auburnhall.http.InboundRequest
 import auburnhall.http.RequestHandler
@@ -68,28 +70,28 @@
     /** A replica is known to be lost, so that its requests are to be retried elsewhere. */
     fun onReplicaLost() = inFlight.onReplicaLost()
 
-    /**
-     * Ratio of the requests that all processes have in progress to the slots, by service and model; only for services
-     * that are served by replicas.
-     */
-    fun slotUtilization(): Map<String, Map<String, Double>> {
-        val services =
-            context.state.configuration
-                ?.services
-                ?.values
-                .orEmpty()
-                .filter { it.engine != null }
-        return services.associate { service ->
-            val byModel =
-                context.state.targets
-                    .of(service.name)
-                    .groupBy { it.model.orEmpty() }
-            service.name to
-                byModel.mapValues { (_, targets) ->
-                    targets.sumOf { context.load.total(it.key).requests }.toDouble() / targets.sumOf { it.slots }
-                }
+    /** The demand for each model, by service; only for services that are served by replicas. */
+    fun modelDemand(): Map<String, Map<String, ModelDemand>> =
+        context.state.configuration
+            ?.services
+            ?.values
+            .orEmpty()
+            .mapNotNull { service -> service.engine?.let { service.name to demandOf(service.name, it.models) } }
+            .toMap()
+
+    private fun demandOf(
+        service: String,
+        models: List<Model>,
+    ): Map<String, ModelDemand> =
+        models.associate { model ->
+            val targets = context.state.targets.of(service, model.name)
+            model.name to
+                ModelDemand(
+                    slotsInUse = targets.sumOf { context.load.total(it.key).requests },
+                    waiting = inFlight.queue.waitingIn(TargetPool(service, model.name)),
+                    slots = targets.sumOf { it.slots },
+                )
         }
-    }
 
     private fun forward(
         accepted: AcceptedRequest,
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
@@ -8,6 +8,7 @@
 import auburnhall.core.EngineProfile
 import auburnhall.core.Fleet
 import auburnhall.core.Model
+import auburnhall.core.ModelDemand
 import auburnhall.core.ReplicaName
 import auburnhall.core.ReplicaTracker
 import auburnhall.core.Worker
@@ -28,8 +29,11 @@
     private val stagingRequested = HashSet<Pair<WorkerIncarnation, String>>()
     private var spareDomains: Set<String> = emptySet()
 
-    /** Share of slots in use by model, at the last count; 1 is all slots of the model's replicas. */
-    var slotUtilization: Map<String, Double> = emptyMap()
+    /** The demand by model, as last counted. */
+    var demand: Map<String, ModelDemand> = emptyMap()
+
+    /** Data centres that are evacuated: nothing is formed or loaded there, and what is open there stays. */
+    var evacuated: Set<String> = emptySet()
 
     private val placementContext =
         object : PlacementContext {
@@ -37,7 +41,7 @@
 
             override fun freeMs(worker: Worker): Long = availability.freeMs(worker)
 
-            override fun slotUtilization(model: String): Double? = slotUtilization[model]
+            override fun slotUtilization(model: String): Double? = demand[model]?.utilization
         }
 
     /** A process suspects the replica [key]: it has received no data from it within the failure detector's timeout. */
