--- a/gateway/src/main/kotlin/auburnhall/gateway/AdmissionQueue.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AdmissionQueue.kt
@@ -4,13 +4,7 @@
 package auburnhall.gateway
 
 import auburnhall.core.Clock
-
-/** The targets that serve the same requests: those of a plain service, or of one model of a service. */
-data class TargetPool(
-    val service: String,
-    /** Null for a plain service. */
-    val model: String?,
-)
+import auburnhall.routing.TargetPool
 
 /** Waiting requests by pool. Traffic thread only. */
 class AdmissionQueue(
--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -9,6 +9,7 @@
 import auburnhall.routing.Choice
 import auburnhall.routing.QueueState
 import auburnhall.routing.Target
+import auburnhall.routing.TargetPool
 
 /** Forwards one request. Traffic thread only. */
 class ForwardedRequest internal constructor(
--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -10,6 +10,7 @@
 import auburnhall.http.RequestHandler
 import auburnhall.http.ResponseWriter
 import auburnhall.routing.TargetKey
+import auburnhall.routing.TargetPool
 
 /** Serves requests on the traffic thread. */
 class Gateway(
