--- a/routing/src/main/kotlin/auburnhall/routing/PoolWaiting.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/PoolWaiting.kt
@@ -1,6 +1,6 @@
 /*
- * The requests that wait for a free slot, by the targets that can serve them and by rank. Each process sees only a small
- * part of them, so its decisions need those of the others.
+ * The requests that wait for a free slot, by the targets that can serve them and by rank. Each process sees only a
+ * small part of them, so its decisions need those of the others.
  */
 package auburnhall.routing
 
