--- a/entry/src/main/kotlin/auburnhall/entry/Main.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Main.kt
@@ -1,7 +1,7 @@
 /*
  * Main function of the entry process: reads the command line and the settings, starts the process and handles its
- * signals. Exits with status 2 when the command line or the settings are invalid, and with status 3 when it cannot listen
- * at an address of the settings: the platform then starts it again, which a process that stays would prevent.
+ * signals. Exits with status 2 when the command line or the settings are invalid, and with status 3 when it cannot
+ * listen at an address of the settings: the platform then starts it again, which a process that stays would prevent.
  */
 package auburnhall.entry
 
