Reset a worker's connection in the test once its events were received

The test's worker writes two events and resets its connection at once. A reset makes the kernel drop what the other side has not read, so a gateway that is not scheduled in between never sees the events, and 502 is the right answer.

Ruled out: a fault of the gateway.

Change: the worker of this test resets its connection once the caller has received the second event. The check is the same, and now always applies to a stream that has begun.

--- a/gateway/src/test/kotlin/auburnhall/gateway/CutHeadTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/CutHeadTest.kt
@@ -10,7 +10,7 @@
     private enum class Before { NEW_CONNECTION, KEPT_CONNECTION, INTERIM_HEAD }
 
     private val framings = listOf("content-length: 12\r\n", "transfer-encoding: chunked\r\n", "")
-    private val ends = listOf<(String) -> Script>(Script::Close, Script::Reset)
+    private val ends = listOf<(String) -> Script>(Script::Close, { Script.Reset(it) })
 
     @Volatile
     private var next: (WorkerRequest) -> Script = { Script.NoResponse }
--- a/gateway/src/test/kotlin/auburnhall/gateway/FaultyWorker.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/FaultyWorker.kt
@@ -8,6 +8,7 @@
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.TimeUnit
 
 /** A request that a [FaultyWorker] has received; [earlier] are the ids of those before it on its connection. */
 data class WorkerRequest(
@@ -71,7 +72,10 @@
                 else -> ""
             }
         socket.getOutputStream().write(text.toByteArray())
-        if (script is Script.Reset) socket.setSoLinger(true, 0)
+        if (script is Script.Reset) {
+            script.received.await(RECEIVE_TIMEOUT_S, TimeUnit.SECONDS)
+            socket.setSoLinger(true, 0)
+        }
         return script is Script.Send || script is Script.NoResponse
     }
 
@@ -84,5 +88,6 @@
 
     private companion object {
         const val BACKLOG = 100
+        const val RECEIVE_TIMEOUT_S = 5L
     }
 }
--- a/gateway/src/test/kotlin/auburnhall/gateway/FaultyWorkerFixture.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/FaultyWorkerFixture.kt
@@ -66,6 +66,9 @@
     private val faulty = ArrayList<FaultyWorker>()
     private val ids = AtomicInteger()
 
+    /** Called with all that a caller has received whenever it has received more. */
+    protected var onReceived: (String) -> Unit = {}
+
     @AfterEach
     fun closeFaulty() = faulty.forEach { it.close() }
 
@@ -116,6 +119,7 @@
             val count = runCatching { socket.getInputStream().read(part) }.getOrDefault(-1)
             if (count < 0) return bytes.toString(Charsets.ISO_8859_1)
             bytes.write(part, 0, count)
+            onReceived(bytes.toString(Charsets.ISO_8859_1))
         }
     }
 
--- a/gateway/src/test/kotlin/auburnhall/gateway/ResumedWithErrorTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/ResumedWithErrorTest.kt
@@ -4,6 +4,7 @@
 import org.junit.jupiter.api.Assertions.assertFalse
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import java.util.concurrent.CountDownLatch
 
 /** Streams that break off, and whose next worker answers with something else than their events. */
 class ResumedWithErrorTest : FaultyWorkerFixture() {
@@ -48,6 +49,10 @@
         )
     }
 
+    /** Open once the caller has the second event: a reset drops what the gateway has not read. */
+    @Volatile
+    private var received = CountDownLatch(0)
+
     private val event = { number: Int -> "id: $number\ndata: e$number\n\n" }
 
     private fun chunkedStart(id: String) = stream(1, 2).replace("id: q1\r\n", "id: $id\r\n")
@@ -58,10 +63,10 @@
     /** How a stream breaks off after its second event; the last one does not show it. */
     private val breaks =
         listOf<(String) -> Script>(
-            { Script.Reset(chunkedStart(it)) },
+            { Script.Reset(chunkedStart(it), received) },
             { Script.Close(chunkedStart(it)) },
             { Script.Close(chunkedStart(it) + chunk("id: 3\nda")) },
-            { Script.Reset(unstatedStart(it)) },
+            { Script.Reset(unstatedStart(it), received) },
             { Script.Close(unstatedStart(it) + "id: 3\nda") },
             { Script.Close(unstatedStart(it)) },
         )
@@ -71,6 +76,9 @@
         breakOff: (String) -> Script,
         resumed: (String) -> Script,
     ): Received {
+        val latch = CountDownLatch(1)
+        received = latch
+        onReceived = { if (event(2) in it) latch.countDown() }
         next = { if (it.resumes) resumed(it.id) else breakOff(it.id) }
         return exchange("/stream/x", newId("s"), WAIT_MS)
     }
@@ -95,7 +103,7 @@
         val end: Int,
     )
 
-    private val ends = listOf<(String) -> Script>(Script::Close, Script::Reset, Script::Send)
+    private val ends = listOf<(String) -> Script>(Script::Close, { Script.Reset(it) }, Script::Send)
 
     /** All that end; those after which the stream waits for another worker only once. */
     private val forms =
--- a/gateway/src/test/kotlin/auburnhall/gateway/ScriptedWorker.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/ScriptedWorker.kt
@@ -24,9 +24,10 @@
         val text: String,
     ) : Script
 
-    /** Send [text], then reset the connection. */
+    /** Send [text], then reset the connection once [received] is open: a reset drops what has not been read. */
     data class Reset(
         val text: String,
+        val received: CountDownLatch = CountDownLatch(0),
     ) : Script
 
     /** Send [head], then [part] again and again until the connection is closed. */
@@ -124,6 +125,7 @@
             }
             is Script.Reset -> {
                 write(socket, script.text)
+                script.received.await()
                 socket.setSoLinger(true, 0)
                 socket.close()
             }
