--- a/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
+++ b/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
@@ -6,11 +6,16 @@
 
 import com.github.michaelbull.result.Result
 
-/** A state of the store: [revision] rises with each change, but only within an [era], see [KeyValueStore]. */
+/**
+ * A state of the store: [revision] rises with each change, but only within an [era], see [KeyValueStore]. Every position
+ * of a later era is the greater one.
+ */
 data class StorePosition(
     val era: Long,
     val revision: Long,
-)
+) : Comparable<StorePosition> {
+    override fun compareTo(other: StorePosition) = compareValuesBy(this, other, { it.era }, { it.revision })
+}
 
 /** One item of the store. */
 class StoreItem(
--- a/core/src/main/kotlin/auburnhall/core/Settings.kt
+++ b/core/src/main/kotlin/auburnhall/core/Settings.kt
@@ -34,4 +34,6 @@
     val extraRetries: Int,
     /** The window of the retry budget, in milliseconds. */
     val retryWindowMs: Long,
+    /** Time, in milliseconds, within which an evacuation of a data centre is to be in force; null if not set. */
+    val evacuateMs: Long? = null,
 )
