Send nothing to workers in evacuated data centres

Requests go to whatever TargetTable lists, and nothing took evacuated data centres out of it.

TargetTable.of now leaves out workers and heads there. First attempts, queued requests, retries, resumed and moved streams and checks of a stream's end all choose from it. find and isPresent still know these targets, since streams run there. A request whose connection to a worker there is being established when the evacuation arrives is withdrawn and sent elsewhere: nothing was sent, so it counts neither as an attempt nor against the retry budget. Asking for the data centre when the connection is there was ruled out: the request would wait up to 400 ms for a connection that it must not use.

With only evacuated targets, a request is refused at once with 'data centres evacuated'. evacuation.empty and a count tell when no request is left there.

--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -124,6 +124,9 @@
     private val isBrokenOff: Boolean
         get() = events.hasPartialEvent || (framing == Framing.CLOSE && !hasEvents && !onlyChecksEnd)
 
+    /** Whether the request waits for a connection, so that nothing was sent. */
+    val isConnecting: Boolean get() = call?.isConnecting == true
+
     fun send() {
         context.load.begin(target.key, unreadTokens)
         context.limits.onSent(target)
--- a/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
@@ -102,6 +102,14 @@
     private fun noteRejection(target: Target) =
         if (target.replica != null) context.health.markSuspect(target.key) else context.health.onFailure(target.key)
 
+    /** [attempt] was cancelled before anything was sent, since nothing may be sent to its data centre any more. */
+    fun onWithdrawn(attempt: Attempt) {
+        context.listener.logRequest("request.withdrawn", state.accepted.id, "target" to attempt.target.key.text)
+        if (attempt.onlyChecksEnd) return completion.complete()
+        state.detach(attempt)
+        sendElsewhere()
+    }
+
     override fun onFailure(
         attempt: Attempt,
         failure: CallFailure,
--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -42,6 +42,13 @@
     /** Whether no attempt is in progress. */
     val hasNoAttempt: Boolean get() = state.attempt == null
 
+    /** The data centre of the worker that runs it, as far as is known; null while no attempt is in progress. */
+    val dataCentre: String? get() =
+        state.attempt
+            ?.target
+            ?.worker
+            ?.dataCentre
+
     /** Starts forwarding; called once. */
     fun start() {
         inFlight.onStarted(this)
@@ -79,6 +86,15 @@
         end.onNoTarget(refusal)
     }
 
+    /** Sends the request elsewhere if it waits for a connection to a worker in an evacuated data centre. */
+    fun withdrawIfEvacuated() {
+        val current = state.attempt?.takeIf { it.isConnecting } ?: return
+        if (!context.state.targets.isEvacuated(current.target)) return
+        current.cancel()
+        state.onWithdrawn(current.target.key)
+        outcomes.onWithdrawn(current)
+    }
+
     private fun decide(): Admission {
         val choice = state.choose()
         val admission =
--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -33,6 +33,9 @@
         inFlight.endAll()
     }
 
+    /** Number of requests in progress in evacuated data centres; may be read on any thread. */
+    val requestsInEvacuated: Int get() = inFlight.inEvacuated
+
     /** Number of requests that wait for a free slot. */
     val queuedRequests: Int get() = inFlight.queue.size
 
@@ -57,10 +60,12 @@
 
     /** Replaces the state by which requests are served, and dispatches held and queued requests. */
     fun update(state: GatewayState) {
+        val evacuatedBefore = context.state.targets.evacuated
         context.state = state
         context.health.retain(::isInUse)
         context.failureDetector.retain(::isInUse)
-        startupQueue.release()
+        if (state.targets.evacuated != evacuatedBefore) inFlight.onEvacuated(state.targets.evacuated)
+        if (state.configuration != null) startupQueue.release()
         inFlight.queue.dispatchAll()
     }
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
@@ -34,6 +34,9 @@
     val configuration: Configuration?,
     val targets: TargetTable,
 ) {
+    /** This state when the data centres [evacuated] are, and no others. */
+    fun without(evacuated: Set<String>) = GatewayState(configuration, targets.without(evacuated))
+
     companion object {
         val EMPTY = GatewayState(null, TargetTable(Fleet.EMPTY, emptyList(), emptyMap()))
     }
--- a/gateway/src/main/kotlin/auburnhall/gateway/InFlightRequests.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/InFlightRequests.kt
@@ -13,6 +13,7 @@
 ) {
     private val all = LinkedHashSet<ForwardedRequest>()
     private val supervised = LinkedHashSet<ForwardedRequest>()
+    private val evacuated = EvacuatedRequests(context) { all }
     private var timer: ScheduledTask? = null
     private var timerAtMs = Long.MAX_VALUE
 
@@ -56,6 +57,15 @@
     /** Takes requests with a quarantined part away from targets that have not begun to respond to them. */
     fun stopQuarantined() = supervised.toList().forEach { it.stopIfQuarantined() }
 
+    /** Number of requests in evacuated data centres, as last counted; may be read on any thread. */
+    val inEvacuated: Int get() = evacuated.count
+
+    /** The data centres [dataCentres] are evacuated: requests that wait for a connection to a worker there leave. */
+    fun onEvacuated(dataCentres: Set<String>) {
+        all.toList().forEach { it.withdrawIfEvacuated() }
+        evacuated.onEvacuated(dataCentres)
+    }
+
     private fun checkBy(atMs: Long) {
         if (atMs >= timerAtMs) return
         timer?.cancel()
--- a/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
@@ -56,9 +56,12 @@
     /** Chooses the next target among those that the request was not sent to. */
     fun choose(): Choice {
         val requirements = TargetRequirements(accepted.service, accepted.metadata.model, sentTo + unreachable)
-        return context.router.choose(requirements, targets(), context::waitMs)
+        val choice = context.router.choose(requirements, targets(), context::waitMs)
+        return if (choice is Choice.None && isEvacuated()) Choice.Evacuated else choice
     }
 
+    private fun isEvacuated() = context.state.targets.isEvacuated(accepted.service, accepted.metadata.model)
+
     /** Whether there is a target that the request was not sent to and that is not suspect. */
     fun hasAlternative(): Boolean =
         targets().any { it.key !in sentTo && it.key !in unreachable && !context.health.isSuspect(it.key) }
@@ -75,6 +78,11 @@
         unreachable.add(key)
     }
 
+    /** Records that nothing was sent to [key] after all, since the attempt was withdrawn before. */
+    fun onWithdrawn(key: TargetKey) {
+        sentTo.remove(key)
+    }
+
     /**
      * Records that a target rejected the request without executing it. While a stream is under way, the first few
      * rejections do not use up attempts: giving up would lose what the caller has received.
--- a/http/src/main/kotlin/auburnhall/http/HttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpClient.kt
@@ -121,6 +121,8 @@
     private var cancelled = false
     private var reading = true
 
+    override val isConnecting: Boolean get() = call == null && !cancelled
+
     fun startWhenConnected(future: ChannelFuture) {
         future.addListener { onConnected(future) }
     }
--- a/http/src/main/kotlin/auburnhall/http/OutboundCall.kt
+++ b/http/src/main/kotlin/auburnhall/http/OutboundCall.kt
@@ -102,6 +102,9 @@
 
 /** A call in progress. */
 interface OutboundCall {
+    /** Whether its connection is being established, so that nothing was sent. */
+    val isConnecting: Boolean get() = false
+
     /** Whether the response is read; while it is not, the peer is held back by the connection's flow control. */
     fun setReading(reading: Boolean)
 
--- a/routing/src/main/kotlin/auburnhall/routing/Admission.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Admission.kt
@@ -49,6 +49,7 @@
         when (choice) {
             is Choice.Send -> Admission.Send(choice.target, choice.load)
             is Choice.None -> refuse("no target", NO_TARGET_RETRY_MS)
+            is Choice.Evacuated -> refuse("data centres evacuated", EVACUATED_RETRY_MS)
             is Choice.Full -> whenFull(choice, queue)
             is Choice.Limited -> whenLimited(choice, queue)
         }
@@ -98,6 +99,9 @@
         /** About the time that forming a new replica takes. */
         private const val NO_TARGET_RETRY_MS = 700L
 
+        /** The end of an evacuation is not known in advance; a caller that has time left asks again after this. */
+        private const val EVACUATED_RETRY_MS = 1_000L
+
         /** About the time in which half of the streams of a full replica end. */
         private const val FULL_RETRY_MS = 700L
         private const val MS_PER_SECOND = 1_000L
--- a/routing/src/main/kotlin/auburnhall/routing/Router.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Router.kt
@@ -37,6 +37,9 @@
 
     /** No target is available. */
     data object None : Choice
+
+    /** No target is available except in evacuated data centres. */
+    data object Evacuated : Choice
 }
 
 /** Chooses targets by load and health. Traffic thread only. */
--- a/routing/src/main/kotlin/auburnhall/routing/Targets.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Targets.kt
@@ -1,5 +1,6 @@
 /*
- * What a request can be sent to: the head of a replica, or a worker of a plain service.
+ * What a request can be sent to: the head of a replica, or a worker of a plain service. Workers in evacuated data
+ * centres are known, since requests sent before may still run there, but are no target of further ones.
  */
 package auburnhall.routing
 
@@ -29,34 +30,70 @@
 ) {
     /** What it serves: the model, or the plain service. */
     val served: String get() = model ?: worker.service
+
+    /** Whether it serves requests for [model]; a plain service ignores the model. */
+    fun serves(model: String?): Boolean = this.model == null || this.model == model
 }
 
 /** The targets of every service, computed once for a state of the fleet and a configuration. */
-class TargetTable(
-    fleet: Fleet,
-    services: Collection<Service>,
-    /** Open replicas by service. */
-    replicas: Map<String, List<Replica>>,
+class TargetTable private constructor(
+    private val all: Map<String, List<Target>>,
+    /** The data centres of the workers of each service. */
+    private val dataCentres: Map<String, Set<String>>,
+    private val present: Map<TargetKey, Target>,
+    /** The data centres to whose workers nothing may be sent. */
+    val evacuated: Set<String>,
 ) {
-    private val byService = services.associate { it.name to targetsOf(it, fleet, replicas[it.name].orEmpty()) }
-    private val present = byService.values.flatten().associateBy { it.key }
+    private val byService =
+        if (evacuated.isEmpty()) all else all.mapValues { (_, targets) -> targets.filterNot(::isEvacuated) }
 
     /** Targets of [service] that serve [model]; for plain services [model] is ignored. */
     fun of(
         service: String,
         model: String?,
-    ): List<Target> = byService[service].orEmpty().filter { it.model == null || it.model == model }
+    ): List<Target> = of(service).filter { it.serves(model) }
 
     /** All targets of [service]. */
     fun of(service: String): List<Target> = byService[service].orEmpty()
 
-    /** Whether requests may still be sent to [key]. */
+    /** Whether [service] has workers, or targets for [model], but all of them are in evacuated data centres. */
+    fun isEvacuated(
+        service: String,
+        model: String?,
+    ): Boolean {
+        val workersAt = dataCentres[service].orEmpty()
+        val nowhereElse = workersAt.isNotEmpty() && evacuated.containsAll(workersAt)
+        return nowhereElse || (of(service, model).isEmpty() && all[service].orEmpty().any { it.serves(model) })
+    }
+
+    /** Whether [target] is in an evacuated data centre. */
+    fun isEvacuated(target: Target): Boolean = target.worker.dataCentre in evacuated
+
+    /** Whether [key] accepts requests, even if none is to be sent to its data centre. */
     fun isPresent(key: TargetKey): Boolean = key in present
 
     /** The target [key]; null if it no longer accepts requests. */
     fun find(key: TargetKey): Target? = present[key]
 
+    /** This table when the data centres [evacuated] are, and no others. */
+    fun without(evacuated: Set<String>): TargetTable =
+        if (evacuated == this.evacuated) this else TargetTable(all, dataCentres, present, evacuated)
+
     companion object {
+        /** The table of [fleet] and its open [replicas], by service, with nothing evacuated. */
+        operator fun invoke(
+            fleet: Fleet,
+            services: Collection<Service>,
+            replicas: Map<String, List<Replica>>,
+        ): TargetTable {
+            val all = services.associate { it.name to targetsOf(it, fleet, replicas[it.name].orEmpty()) }
+            val dataCentres =
+                services.associate { service ->
+                    service.name to fleet.ofService(service.name).mapTo(HashSet()) { it.dataCentre }
+                }
+            return TargetTable(all, dataCentres, all.values.flatten().associateBy { it.key }, emptySet())
+        }
+
         /** The key of [worker], one of a plain service. */
         fun keyOf(worker: Worker) = TargetKey("${worker.id}@${worker.startedAtUnixMs}")
 
