Read evacuations from the store and exchange them between processes

The operators' keys op/evacuate/DATA-CENTRE were not read. StoreView passes on what the store holds, EvacuationExchange combines it with what other processes report (field 11 of PeerMessage) and sends it to all on a change and to two others twice a second, so that processes that the store turns away have it as well. The greater position in the store holds, so a removal is not undone by a process that missed it.

After a restore, or in the first 2.5 s of a process, no key counts as absent, since the operators write their keys again within 2 s. The end takes effect with the first read of the store after that, so that an evacuation also holds while a restored store does not answer. Waiting for the clock alone was ruled out: a process that reads changes every 600 ms would miss a late rewrite.

The replica controllers get the same set before each tick. evacuate_ms also bounds the time for which a process batches changes; 5,000 ms leave it at 600 ms. Tests play 7 processes on simulated time over datagrams of which 3 % are lost.

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -47,7 +47,9 @@
     ProcessDirectory {
     private val mirror: StoreMirror = StoreMirror(context, this, ControlTiming())
     private val view =
-        StoreView(context.settings.processName, context.events, listener, context.clock) { mirror.storeWasUnavailable }
+        StoreView(context.settings.processName, context.events, listener, context.clock, MirroredEvacuations()) {
+            mirror.storeWasUnavailable
+        }
 
     /** Relays the store's changes to other processes. */
     val relay = RelayServer(context.clock, context.scheduler, mirror)
@@ -148,6 +150,12 @@
         override val processes: Int get() = view.peers.size + 1
     }
 
+    private inner class MirroredEvacuations : EvacuationSource {
+        override val era: Long get() = mirror.position.era
+
+        override val readAtMs: Long? get() = mirror.ageMs?.let { context.clock.nowMs() - it }
+    }
+
     private fun tick() {
         val now = context.clock.nowMs()
         if (now - tickDueAtMs >= STALL_THRESHOLD_MS) replicas.onStall(now - tickDueAtMs)
@@ -165,7 +173,10 @@
 
     private inner class ControlTiming : MirrorTiming {
         override val batchMs: Long
-            get() = if (leadership.isLeading || relay.hasClients) RELAY_BATCH_MS else FOLLOWER_BATCH_MS
+            get() = if (leadership.isLeading || relay.hasClients) RELAY_BATCH_MS else followerBatchMs
+
+        private val followerBatchMs =
+            minOf(FOLLOWER_BATCH_MS, (context.settings.bounds.evacuateMs ?: Long.MAX_VALUE) / BATCHES_PER_EVACUATION)
 
         override val waitMs: Long get() = if (relay.hasClients) RELAY_WATCH_WAIT_MS else MAX_WATCH_WAIT_MS
 
@@ -193,6 +204,9 @@
          */
         const val FOLLOWER_BATCH_MS = 600L
 
+        /** Batching intervals within the time in which an evacuation is to be in force. */
+        const val BATCHES_PER_EVACUATION = 8L
+
         /**
          * Sum of the longest waits for changes over all levels of the relay tree: the ages of the levels add up and
          * must stay below [RelayServer.MAX_AGE_MS], also on slow machines.
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -11,8 +11,8 @@
 import auburnhall.core.Fleet
 import auburnhall.core.Replica
 import auburnhall.core.Settings
+import auburnhall.core.StoredEvacuations
 import auburnhall.core.log
-import auburnhall.gateway.GatewayState
 import auburnhall.http.BufferedHttpClient
 import auburnhall.http.EventLoopScheduler
 import auburnhall.http.HttpClient
@@ -61,6 +61,7 @@
         metrics.quarantinedParts(clock) { traffic.verdicts.quarantined }
         traffic.start()
         traffic.scheduler.run {
+            traffic.onEvacuated = { dataCentres -> control.run { plane.replicas.evacuated = dataCentres } }
             traffic.peerMessenger.parts.onQuarantined = { parts -> control.run { plane.quarantine.onSnapshot(parts) } }
         }
         endpoints.serveReadiness(traffic.loop, settings.readinessListenAddress)
@@ -132,9 +133,10 @@
         configuration: Configuration,
         fleet: Fleet,
         replicas: Map<String, List<Replica>>,
+        evacuated: StoredEvacuations,
     ) {
-        val state = GatewayState(configuration, TargetTable(fleet, configuration.services.values, replicas))
-        traffic.scheduler.run { traffic.gateway.update(state) }
+        val targets = TargetTable(fleet, configuration.services.values, replicas)
+        traffic.scheduler.run { traffic.update(configuration, targets, evacuated) }
     }
 
     override fun onPeers(peers: Map<String, PeerProcess>) =
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
@@ -23,6 +23,7 @@
 private const val DATA_CENTRE = 8
 private const val PART_REPORT = 9
 private const val LIMITS = 10
+private const val EVACUATIONS = 11
 
 /** Status of a replica as one process reports it. */
 enum class ReplicaStatus {
@@ -51,7 +52,10 @@
     ALL,
 }
 
-/** One datagram: a [partReport], [limits], the status of a replica where [replica] is set, or else a load report. */
+/**
+ * One datagram: a [partReport], [limits], [evacuations], the status of a replica where [replica] is set, or else a load
+ * report.
+ */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
 data class PeerMessage(
@@ -70,6 +74,8 @@
     @ProtoNumber(PART_REPORT) val partReport: PartReport? = null,
     /** Limits that workers have named; empty in the other messages. */
     @ProtoNumber(LIMITS) val limits: List<ReportedLimit> = emptyList(),
+    /** Evacuations of data centres, begun or ended; empty in the other messages. */
+    @ProtoNumber(EVACUATIONS) val evacuations: List<ReportedEvacuation> = emptyList(),
 ) {
     /** The loads of a load report, by target hash. */
     fun loads(): LoadsByHash =
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
@@ -1,7 +1,7 @@
 /*
- * Messages between the processes: load reports, reports about parts of prompts, limits of workers, and changes in the
- * status of replicas, such as a suspected failure, so that all processes route around a failing replica and not only
- * the one that noticed.
+ * Messages between the processes: load reports, reports about parts of prompts, limits of workers, evacuations, and
+ * changes in the status of replicas, such as a suspected failure, so that all processes route around a failing replica
+ * and not only the one that noticed.
  */
 package auburnhall.entry
 
@@ -45,6 +45,9 @@
     /** Exchanges reports about parts of prompts. */
     val parts = PartExchange(process, runtime, guards.parts, channel)
     private val limits = LimitExchange(process, runtime, guards.limits, channel, events)
+
+    /** Exchanges the evacuations of data centres. */
+    val evacuations = EvacuationExchange(process, runtime, channel, events)
     private var peers: Set<String> = emptySet()
 
     /** Number of processes, this one included. */
@@ -59,6 +62,7 @@
         loads.start()
         parts.start()
         limits.start()
+        evacuations.start()
         return bound
     }
 
@@ -69,6 +73,7 @@
         loads.onPeers(known)
         parts.onPeers(peers.toSet())
         limits.onPeers(peers.toSet())
+        evacuations.onPeers(peers.toSet())
     }
 
     /** Reports the status of the replica of [key] to all processes, this one included. */
@@ -86,6 +91,7 @@
         when {
             partReport != null -> parts.onReport(message.process, partReport)
             message.limits.isNotEmpty() -> limits.onReport(message.limits)
+            message.evacuations.isNotEmpty() -> evacuations.onReport(message.process, message.evacuations)
             replica != null -> onStatus(TargetKey(replica), message.replicaStatus)
             else -> loads.onMessage(message)
         }
--- a/entry/src/main/kotlin/auburnhall/entry/ReplicaControllers.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ReplicaControllers.kt
@@ -29,6 +29,9 @@
     private var decisionScheduled = false
     private val controlStall = ControlThreadStall(context.clock)
 
+    /** The data centres that are evacuated; those in the store as long as null. */
+    var evacuated: Set<String>? = null
+
     /** Whether this process may send orders now: its leadership lease is valid. */
     var mayOrder: () -> Boolean = { false }
 
@@ -70,6 +73,7 @@
                         ControllerContext(service.name, context.clock, current, context.events, listener, controlStall),
                     )
                 }
+            controller.evacuated = evacuated ?: view.evacuated.begun.keys
             controller.tick(view.fleet, engine, view.tracker(service.name)).forEach { send(controller, it) }
         }
     }
--- a/entry/src/main/kotlin/auburnhall/entry/StoreView.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreView.kt
@@ -1,6 +1,6 @@
 /*
- * Decodes the mirrored items of the store: the configuration, the registered workers and the other processes. Publishes
- * the result once per batch of changes.
+ * Decodes the mirrored items of the store: the configuration, the registered workers, the other processes and the
+ * evacuations. Publishes the result once per batch of changes.
  */
 package auburnhall.entry
 
@@ -11,19 +11,25 @@
 import auburnhall.core.Replica
 import auburnhall.core.ReplicaTracker
 import auburnhall.core.StoreItem
+import auburnhall.core.StoredEvacuations
 import auburnhall.core.log
 import auburnhall.platform.ConfigurationCodec
+import auburnhall.platform.EvacuationCodec
 import auburnhall.platform.WorkerEntryCodec
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 
 /** Receives the decoded state; called on the control thread. */
 interface ViewListener {
-    /** Requests are to be served with this state; [replicas] are the open replicas by service. */
+    /**
+     * Requests are to be served with this state; [replicas] are the open replicas by service, [evacuated] what the
+     * store says of evacuations.
+     */
     fun onState(
         configuration: Configuration,
         fleet: Fleet,
         replicas: Map<String, List<Replica>>,
+        evacuated: StoredEvacuations,
     )
 
     /** The set of other processes, by name, has changed. */
@@ -36,12 +42,14 @@
     private val events: EventListener,
     private val listener: ViewListener,
     clock: Clock,
+    source: EvacuationSource,
     /** Whether leases may have expired because the store was unavailable. */
     storeWasUnavailable: () -> Boolean,
 ) {
     private val registry = WorkerRegistry(clock, events, storeWasUnavailable)
     private val trackers = HashMap<String, ReplicaTracker>()
     private val processes = PeerRegistry(processName, clock, storeWasUnavailable)
+    private val evacuations = EvacuationRegistry(clock, source)
     private var revision = 0L
 
     /** The newest valid configuration; null until one was read. */
@@ -55,6 +63,9 @@
     var fleet: Fleet = Fleet.EMPTY
         private set
 
+    /** The evacuations in the store as last published. */
+    val evacuated: StoredEvacuations get() = evacuations.stored
+
     /** The open replicas of [service] as last published. */
     fun tracker(service: String): ReplicaTracker = trackers.getOrPut(service) { ReplicaTracker(service) }
 
@@ -64,6 +75,7 @@
             item.key == ConfigurationCodec.KEY -> onConfiguration(item)
             item.key.startsWith(WorkerEntryCodec.KEY_PREFIX) -> registry.onPut(item)
             item.key.startsWith(ProcessRegistration.KEY_PREFIX) -> processes.onPut(item)
+            item.key.startsWith(EvacuationCodec.KEY_PREFIX) -> evacuations.onPut(item)
         }
     }
 
@@ -76,6 +88,7 @@
             key == ConfigurationCodec.KEY -> events.log("configuration.removed", "kept" to configuration?.version)
             key.startsWith(WorkerEntryCodec.KEY_PREFIX) -> registry.onRemoved(key)
             key.startsWith(ProcessRegistration.KEY_PREFIX) -> processes.onRemoved(key)
+            key.startsWith(EvacuationCodec.KEY_PREFIX) -> evacuations.onRemoved(key)
         }
     }
 
@@ -84,17 +97,18 @@
         revision = at
         if (processes.takeChanged()) listener.onPeers(HashMap(peers))
         fleet = registry.fleet(revision)
+        evacuations.publish(revision)
         val current = configuration ?: return
         val engines = current.services.values.mapNotNull { service -> service.engine?.let { service.name to it } }
         val open = engines.associate { (name, engine) -> name to tracker(name).update(fleet, engine.models) }
-        listener.onState(current, fleet, open)
+        listener.onState(current, fleet, open, evacuated)
     }
 
-    /** Removes workers and processes that did not register again in time; called periodically. */
+    /** Removes workers, processes and evacuations that were not written again in time; called periodically. */
     fun expire() {
         val workersExpired = registry.expire()
         val processesExpired = processes.expire()
-        if (workersExpired || processesExpired) publish()
+        if (workersExpired || processesExpired || evacuations.expire()) publish()
     }
 
     private fun onConfiguration(item: StoreItem) {
--- a/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
@@ -5,9 +5,11 @@
 
 import auburnhall.core.CallerLimits
 import auburnhall.core.Clock
+import auburnhall.core.Configuration
 import auburnhall.core.EventListener
 import auburnhall.core.Replica
 import auburnhall.core.Settings
+import auburnhall.core.StoredEvacuations
 import auburnhall.core.log
 import auburnhall.gateway.FilterChain
 import auburnhall.gateway.Gateway
@@ -17,6 +19,7 @@
 import auburnhall.gateway.GatewayObservers
 import auburnhall.gateway.GatewayRouting
 import auburnhall.gateway.GatewayRuntime
+import auburnhall.gateway.GatewayState
 import auburnhall.gateway.RetryBudgets
 import auburnhall.http.EventLoopScheduler
 import auburnhall.http.HttpClient
@@ -34,6 +37,7 @@
 import auburnhall.routing.RetryBounds
 import auburnhall.routing.Router
 import auburnhall.routing.TargetHealth
+import auburnhall.routing.TargetTable
 import auburnhall.routing.UnreportedRequests
 import auburnhall.routing.WorkerLimits
 import auburnhall.routing.WorkerNotices
@@ -103,6 +107,9 @@
     /** Serves callers' requests. */
     val gateway: Gateway = Gateway(context, FilterChain({ context.state.configuration }, random) { gateway.stop })
 
+    /** Called on the traffic thread with the evacuated data centres when they have changed. */
+    var onEvacuated: (Set<String>) -> Unit = { }
+
     /** The server that callers connect to. */
     val callers = HttpServer(loop, clock, ::limits, gateway)
 
@@ -110,6 +117,10 @@
     val configured: Boolean get() = context.state.configuration != null
 
     init {
+        peerMessenger.evacuations.onChange = { dataCentres ->
+            gateway.update(context.state.without(dataCentres))
+            onEvacuated(dataCentres)
+        }
         callers.onMemoryRefusal = {
             listener.log("request.no_memory", "peer" to it.peer, "held_bytes" to it.heldBytes, "limit" to it.limitBytes)
         }
@@ -126,6 +137,14 @@
             "auburnhall_worker_connects_total",
             "Connections to workers established since the start.",
         ) { client.connects }
+        metrics.gauge(
+            "auburnhall_evacuated_data_centres",
+            "Data centres to whose workers nothing is sent.",
+        ) { context.state.targets.evacuated.size }
+        metrics.gauge(
+            "auburnhall_requests_in_evacuated",
+            "Requests of this process in progress in evacuated data centres.",
+        ) { gateway.requestsInEvacuated }
         metrics.gauge(
             "auburnhall_queued_requests",
             "Requests waiting in the admission queue.",
@@ -138,6 +157,16 @@
         scheduler.run { peerMessenger.start(settings().host) }
     }
 
+    /** Serves requests by [configuration] and [targets], less what is evacuated; [evacuated] is what the store says. */
+    fun update(
+        configuration: Configuration,
+        targets: TargetTable,
+        evacuated: StoredEvacuations,
+    ) {
+        peerMessenger.evacuations.onStored(evacuated)
+        gateway.update(GatewayState(configuration, targets.without(peerMessenger.evacuations.dataCentres)))
+    }
+
     private fun retryBounds(): RetryBounds =
         settings().bounds.let { RetryBounds(it.retryRatio, it.retryWindowMs, it.extraRetries) }
 
--- a/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
@@ -9,6 +9,7 @@
 import auburnhall.core.StoreError
 import auburnhall.core.StoreItem
 import auburnhall.core.StorePosition
+import auburnhall.core.StoredEvacuations
 import auburnhall.test.FakeKeyValueStore
 import auburnhall.test.FakeScheduler
 import auburnhall.test.RecordingListener
@@ -274,6 +275,7 @@
                         configuration: Configuration,
                         fleet: Fleet,
                         replicas: Map<String, List<Replica>>,
+                        evacuated: StoredEvacuations,
                     ) {
                         applied.add(configuration.version)
                     }
@@ -281,6 +283,10 @@
                     override fun onPeers(peers: Map<String, PeerProcess>) = Unit
                 },
                 time,
+                object : EvacuationSource {
+                    override val era = 1L
+                    override val readAtMs = 0L
+                },
             ) { false }
         listOf(5L, 9L, 7L).forEach { version ->
             view.onPut(
--- a/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
@@ -12,6 +12,7 @@
 import auburnhall.core.ScheduledTask
 import auburnhall.core.Scheduler
 import auburnhall.core.Settings
+import auburnhall.core.StoredEvacuations
 import auburnhall.http.BufferedHttpClient
 import auburnhall.http.EventLoopScheduler
 import auburnhall.http.HttpClient
@@ -94,6 +95,10 @@
         workers.indices.forEach { time.after(300L + it * 100) { writeWorker(it) } }
     }
 
+    /** Names of the live processes for which other data centres than [dataCentres] are evacuated. */
+    fun processesThatDoNotEvacuate(vararg dataCentres: String): List<String> =
+        live.filter { it.evacuated != dataCentres.toSet() }.map { it.name }
+
     /** Lets all processes hold that [part] is quarantined. */
     fun quarantine(part: String) {
         val now = time.nowMs()
@@ -156,7 +161,7 @@
     private fun start(name: String) {
         val process = SimulatedProcess(name, starts++)
         processesByName[name] = process
-        process.plane.start()
+        process.start()
     }
 
     private fun configurationText() =
@@ -189,11 +194,16 @@
         private val limits = OperatorLimits(8_000, 0.2, 10, 10_000)
         private val settings = Settings(name, "z", name, address, address, 1, address, 1_000, true, limits)
         private val random = Random(seed * 1_000 + start)
-        private val context = ControlContext(settings, client, time, scheduler, random, RecordingListener())
+        val events = RecordingListener()
+        private val context = ControlContext(settings, client, time, scheduler, random, events)
         val plane = ControlPlane(context, UNUSED_WORKERS, this, relayFrom) { peer, _ -> sourceOf(peer) }
         val quarantined = HashSet<String>()
         val leading: Boolean get() = plane.isLeading
         var cut by client::cut
+        private val exchange = EvacuationExchange(name, PeerRuntime(time, scheduler, random), ::send, events)
+
+        /** The evacuated data centres as of the last state; null before the first, since it does not serve then. */
+        var evacuated: Set<String>? = null
         var configuration: Configuration? = null
         var fleet = Fleet.EMPTY
         var peers: Map<String, PeerProcess> = emptyMap()
@@ -206,14 +216,38 @@
             return InProcessSource(peer, parent?.plane?.relay, scheduler) { reachable && parent?.reachable == true }
         }
 
+        init {
+            exchange.onChange = { dataCentres ->
+                if (evacuated != null) evacuated = dataCentres
+                plane.replicas.evacuated = dataCentres
+            }
+        }
+
+        fun start() {
+            plane.start()
+            exchange.start()
+        }
+
         fun end() {
             client.ended = true
         }
 
+        /** Datagrams pass while the store does not answer; some are lost. */
+        private fun send(
+            message: PeerMessage,
+            names: Collection<String>,
+        ) {
+            val sent = PeerMessage.decode(message.encode())
+            processesByName.values.filter { it.name in names && random.nextDouble() >= DATAGRAM_LOSS }.forEach {
+                it.scheduler.after(2) { it.exchange.onReport(sent.process, sent.evacuations) }
+            }
+        }
+
         override fun onState(
             configuration: Configuration,
             fleet: Fleet,
             replicas: Map<String, List<Replica>>,
+            evacuated: StoredEvacuations,
         ) {
             val before = this.configuration
             if (before != null && configuration.version < before.version) {
@@ -223,10 +257,13 @@
             if (returned.isNotEmpty()) violations.add("${time.nowMs()}: $name uses leaving ${returned.map { it.id }}")
             this.configuration = configuration
             this.fleet = fleet
+            exchange.onStored(evacuated)
+            this.evacuated = exchange.dataCentres
         }
 
         override fun onPeers(peers: Map<String, PeerProcess>) {
             this.peers = peers
+            exchange.onPeers(peers.keys)
         }
 
         override fun onQuarantined(part: QuarantinedPart) {
@@ -258,6 +295,7 @@
     private companion object {
         const val WORKERS = 6
         const val CHECK_PERIOD_MS = 20L
+        const val DATAGRAM_LOSS = 0.03
 
         /** The configuration has no models, so no orders are sent. */
         val UNUSED_WORKERS =
