--- a/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
+++ b/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
@@ -7,8 +7,8 @@
 import com.github.michaelbull.result.Result
 
 /**
- * A state of the store: [revision] rises with each change, but only within an [era], see [KeyValueStore]. Every position
- * of a later era is the greater one.
+ * A state of the store: [revision] rises with each change, but only within an [era], see [KeyValueStore]. The position
+ * of a later era is always the greater one.
  */
 data class StorePosition(
     val era: Long,
