Keep to the rate of cold workers

A worker that has just started, or has returned, crashes when all processes find it empty and send to it at once. Nothing read its coldness.

WorkerLimits gets the cold state as a second source beside the limits that workers name; the stricter holds. Signs are the entry (new, other run, returned, cold_remaining_ms), responses (Cold-Remaining, passed on to the other processes), and the end of an evacuation, for which StoreView.leaveEvacuated is to be called. They are kept as deadlines.

The share is an even one (EvenShare). That of DemandShare follows the load of the others: a process that hears nothing of them would take half of the rate. Turns of processes that know each other lie evenly apart for each worker; those of processes that do not lie at random. A process assumes 370 processes in the first 3 s after its start, and remembers a larger number of processes for 60 s, since those that are cut off send on.

--- a/core/src/main/kotlin/auburnhall/core/Configuration.kt
+++ b/core/src/main/kotlin/auburnhall/core/Configuration.kt
@@ -86,12 +86,22 @@
     val promptTokensPerSecond: Double,
 )
 
+/** How the workers of a service bear requests after their start. */
+data class ColdStart(
+    /** Time, in milliseconds, for which a worker is cold after its start. */
+    val durationMs: Long,
+    /** Requests per second, from all processes together, that a cold worker bears. */
+    val requestsPerSecond: Double,
+)
+
 /** A service and the limits of its workers; [engine] is null for a plain service, which serves no models. */
 data class Service(
     val name: String,
     /** Connections that one worker accepts from all clients together. */
     val maxConnections: Int,
     val engine: EngineProfile?,
+    /** Null for a service without cold workers. */
+    val coldStart: ColdStart? = null,
 )
 
 /** A customer (a team, in the operators' terms) and the API keys that identify it. */
--- a/core/src/main/kotlin/auburnhall/core/Fleet.kt
+++ b/core/src/main/kotlin/auburnhall/core/Fleet.kt
@@ -37,6 +37,39 @@
     val membership: Membership?,
 )
 
+/** Why a worker counts as cold. */
+enum class ColdSource {
+    /** It was not registered before. */
+    APPEARED,
+
+    /** It registered again as another run. */
+    RESTARTED,
+
+    /** Its entry had been removed. */
+    RETURNED,
+
+    /** Its entry states for how long it is cold. */
+    ENTRY,
+
+    /** A response of the worker states for how long it is cold. */
+    RESPONSE,
+
+    /** Another process passed on such a response. */
+    PEER,
+
+    /** The evacuation of its data centre was taken back. */
+    EVACUATION,
+}
+
+/** The latest sign of a worker's coldness. */
+data class ColdState(
+    val source: ColdSource,
+    /** When it was read, in milliseconds of the monotonic clock. */
+    val sinceMs: Long,
+    /** Cold time, in milliseconds from [sinceMs], that the worker states; null for that of its service. */
+    val remainingMs: Long? = null,
+)
+
 /** A replica of a model with all its members, in rank order. */
 data class Replica(
     val name: String,
@@ -52,6 +85,8 @@
 class Fleet(
     val revision: Long,
     workers: Collection<Worker>,
+    /** Signs of coldness by worker ID, including those whose time is over. */
+    val cold: Map<String, ColdState> = emptyMap(),
 ) {
     val workers: Map<String, Worker> = workers.associateBy { it.id }
     private val byService = workers.groupBy { it.service }
--- a/core/src/main/kotlin/auburnhall/core/Settings.kt
+++ b/core/src/main/kotlin/auburnhall/core/Settings.kt
@@ -34,4 +34,7 @@
     val extraRetries: Int,
     /** The window of the retry budget, in milliseconds. */
     val retryWindowMs: Long,
+    /** A cold worker must get fewer requests a second than its rate times this, plus [coldSlack]. */
+    val coldOverage: Double = 1.5,
+    val coldSlack: Double = 5.0,
 )
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -134,11 +134,10 @@
         replicas: Map<String, List<Replica>>,
     ) {
         val state = GatewayState(configuration, TargetTable(fleet, configuration.services.values, replicas))
-        traffic.scheduler.run { traffic.gateway.update(state) }
+        traffic.scheduler.run { traffic.onState(state, fleet) }
     }
 
-    override fun onPeers(peers: Map<String, PeerProcess>) =
-        traffic.scheduler.run { traffic.peerMessenger.onPeers(peers) }
+    override fun onPeers(peers: Map<String, PeerProcess>) = traffic.scheduler.run { traffic.onPeers(peers) }
 
     override fun onQuarantined(part: QuarantinedPart) = traffic.scheduler.run { traffic.verdicts.adopt(part, "store") }
 
--- a/entry/src/main/kotlin/auburnhall/entry/LimitExchange.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/LimitExchange.kt
@@ -7,6 +7,7 @@
 
 import auburnhall.core.EventListener
 import auburnhall.core.log
+import auburnhall.routing.NamedColdness
 import auburnhall.routing.NamedLimit
 import auburnhall.routing.TargetKey
 import auburnhall.routing.WorkerLimits
@@ -17,6 +18,7 @@
 private const val WORKER = 1
 private const val MILLI_PER_SECOND = 2
 private const val AGE_MS = 3
+private const val REMAINING_MS = 2
 private const val MILLI = 1_000.0
 
 /** What a worker stated about its limit, as reported to other processes. */
@@ -41,6 +43,25 @@
     }
 }
 
+/** What a worker stated about its coldness, as reported to other processes. */
+@OptIn(ExperimentalSerializationApi::class)
+@Serializable
+data class ReportedColdness(
+    @ProtoNumber(WORKER) val worker: String,
+    @ProtoNumber(REMAINING_MS) val remainingMs: Long = 0,
+) {
+    /** The coldness, where the report was received at [nowMs]. */
+    fun toNamed(nowMs: Long) = NamedColdness(TargetKey(worker), nowMs + remainingMs, nowMs)
+
+    companion object {
+        /** Reports [coldness] at [nowMs]. */
+        fun of(
+            coldness: NamedColdness,
+            nowMs: Long,
+        ) = ReportedColdness(coldness.worker.text, coldness.untilMs - nowMs)
+    }
+}
+
 /** Sends the limits that [process] knows and passes those received to [limits]. Traffic thread only. */
 class LimitExchange(
     private val process: String,
@@ -55,6 +76,7 @@
     /** Starts to send; call once. */
     fun start() {
         limits.onChange = ::onChange
+        limits.cold?.onNamed = ::sendColdness
         repeatKnown()
     }
 
@@ -71,6 +93,18 @@
         reported.forEach { limits.onReported(it.toNamed(now)) }
     }
 
+    /** Handles what workers stated about their coldness, as another process has [reported]. */
+    fun onColdness(reported: List<ReportedColdness>) {
+        val now = runtime.clock.nowMs()
+        reported.forEach { limits.cold?.onReported(it.toNamed(now)) }
+    }
+
+    /** Not repeated: a process that misses it learns it from the worker's entry or from the worker. */
+    private fun sendColdness(coldness: NamedColdness) {
+        val reported = listOf(ReportedColdness.of(coldness, runtime.clock.nowMs()))
+        if (peers.isNotEmpty()) sender.send(PeerMessage(process, replica = "", coldness = reported), peers)
+    }
+
     private fun onChange(limit: NamedLimit) {
         events.log("worker.limited", "worker" to limit.worker.text, "per_second" to (limit.perSecond ?: "none"))
         if (changed.isEmpty()) runtime.scheduler.after(COLLECT_MS, ::sendChanged)
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
@@ -24,6 +24,9 @@
 private const val PART_REPORT = 9
 private const val LIMITS = 10
 
+/** Those from 11 to 29 are for load reports and evacuations. */
+private const val COLDNESS = 30
+
 /** Status of a replica as one process reports it. */
 enum class ReplicaStatus {
     /** None of its streams advances; it may have lost a member. */
@@ -70,6 +73,8 @@
     @ProtoNumber(PART_REPORT) val partReport: PartReport? = null,
     /** Limits that workers have named; empty in the other messages. */
     @ProtoNumber(LIMITS) val limits: List<ReportedLimit> = emptyList(),
+    /** Workers that have stated that they are cold; empty in the other messages. */
+    @ProtoNumber(COLDNESS) val coldness: List<ReportedColdness> = emptyList(),
 ) {
     /** The loads of a load report, by target hash. */
     fun loads(): LoadsByHash =
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
@@ -86,6 +86,7 @@
         when {
             partReport != null -> parts.onReport(message.process, partReport)
             message.limits.isNotEmpty() -> limits.onReport(message.limits)
+            message.coldness.isNotEmpty() -> limits.onColdness(message.coldness)
             replica != null -> onStatus(TargetKey(replica), message.replicaStatus)
             else -> loads.onMessage(message)
         }
--- a/entry/src/main/kotlin/auburnhall/entry/StoreView.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreView.kt
@@ -79,6 +79,12 @@
         }
     }
 
+    /**
+     * The evacuation of [dataCentre] was taken back, so that its workers are cold unless their later entries say
+     * otherwise; takes effect at the next [publish].
+     */
+    fun leaveEvacuated(dataCentre: String) = registry.leaveEvacuated(dataCentre)
+
     /** Passes the state, complete up to the revision [at], to the listener. */
     fun publish(at: Long = revision) {
         revision = at
--- a/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
@@ -6,6 +6,7 @@
 import auburnhall.core.CallerLimits
 import auburnhall.core.Clock
 import auburnhall.core.EventListener
+import auburnhall.core.Fleet
 import auburnhall.core.Replica
 import auburnhall.core.Settings
 import auburnhall.core.log
@@ -17,6 +18,7 @@
 import auburnhall.gateway.GatewayObservers
 import auburnhall.gateway.GatewayRouting
 import auburnhall.gateway.GatewayRuntime
+import auburnhall.gateway.GatewayState
 import auburnhall.gateway.RetryBudgets
 import auburnhall.http.EventLoopScheduler
 import auburnhall.http.HttpClient
@@ -25,7 +27,10 @@
 import auburnhall.platform.PlatformCallerCodec
 import auburnhall.platform.PlatformWorkerCodec
 import auburnhall.routing.AdmissionPolicy
+import auburnhall.routing.ColdBound
+import auburnhall.routing.ColdWorkers
 import auburnhall.routing.DemandShare
+import auburnhall.routing.EvenShare
 import auburnhall.routing.LoadTracker
 import auburnhall.routing.PartGuard
 import auburnhall.routing.PartGuardRuntime
@@ -63,7 +68,15 @@
     val verdicts = PartVerdicts(PartGuardRuntime(clock, scheduler, random::nextDouble), listener)
     private val share =
         DemandShare(clock, load, { peerMessenger.processes }) { context.state.targets.of(it.worker.service, it.model) }
-    private val limits = WorkerLimits(clock, share) { peerMessenger.phase }
+    private val evenShare = EvenShare(settings().processName, clock)
+    private val coldWorkers =
+        ColdWorkers(
+            clock,
+            evenShare,
+            { settings().bounds.let { ColdBound(it.coldOverage, it.coldSlack) } },
+            listener,
+        )
+    private val limits = WorkerLimits(clock, share, coldWorkers) { peerMessenger.phase }
     private val guards = GatewayGuards(PartGuard(clock, verdicts, listener), limits, WorkerNotices(clock, listener))
     private val client = HttpClient(loop, clock)
     private val context: GatewayContext =
@@ -121,6 +134,7 @@
             "Bytes of memory that the bodies of callers' requests take.",
         ) { callers.heldRequestBytes }
         metrics.gauge("auburnhall_limited_workers", "Workers that name a limit for requests.") { limits.count }
+        metrics.gauge("auburnhall_cold_workers", "Workers that are cold.") { coldWorkers.count }
         metrics.gauge("auburnhall_worker_connections", "Open connections to workers.") { client.openConnections }
         metrics.gauge(
             "auburnhall_worker_connects_total",
@@ -138,6 +152,27 @@
         scheduler.run { peerMessenger.start(settings().host) }
     }
 
+    /** Requests are to be served with [state], whose workers are those of [fleet]. */
+    fun onState(
+        state: GatewayState,
+        fleet: Fleet,
+    ) {
+        coldWorkers.onFleet(
+            fleet,
+            state.configuration
+                ?.services
+                ?.values
+                .orEmpty(),
+        )
+        gateway.update(state)
+    }
+
+    /** The other processes are [peers]. */
+    fun onPeers(peers: Map<String, PeerProcess>) {
+        evenShare.onPeers(peers.keys)
+        peerMessenger.onPeers(peers)
+    }
+
     private fun retryBounds(): RetryBounds =
         settings().bounds.let { RetryBounds(it.retryRatio, it.retryWindowMs, it.extraRetries) }
 
--- a/entry/src/main/kotlin/auburnhall/entry/WorkerRegistry.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/WorkerRegistry.kt
@@ -26,14 +26,17 @@
     private val entries = HashMap<String, WorkerEntry>()
     private val gone = HashMap<String, GoneEntry>()
     private val removeAtMs = HashMap<String, Long>()
+    private val coldness = WorkerColdness(clock)
 
     /** An entry was written; a worker whose entry cannot be decoded is removed. */
     fun onPut(item: StoreItem) {
         removeAtMs.remove(item.key)
         WorkerEntryCodec
             .decode(item.key, item.value)
-            .onSuccess { entries[item.key] = it }
-            .onFailure {
+            .onSuccess {
+                coldness.onEntry(it, before = entries[item.key], returned = item.key in gone)
+                entries[item.key] = it
+            }.onFailure {
                 entries.remove(item.key)
                 events.log("worker.entry_ignored", "key" to item.key, "revision" to item.revision, "cause" to it)
             }
@@ -78,11 +81,19 @@
     }
 
     /** The workers, as a snapshot at the store's [revision]. */
-    fun fleet(revision: Long): Fleet = Fleet(revision, entries.values.map { it.worker })
+    fun fleet(revision: Long): Fleet {
+        coldness.onListed()
+        return Fleet(revision, entries.values.map { it.worker }, coldness.snapshot())
+    }
+
+    /** The evacuation of [dataCentre] was taken back: its workers are cold unless their later entries say otherwise. */
+    fun leaveEvacuated(dataCentre: String) =
+        coldness.onEvacuationEnded(entries.values.map { it.worker }.filter { it.dataCentre == dataCentre })
 
     private fun remove(key: String) {
         removeAtMs.remove(key)
         val entry = entries.remove(key) ?: return
+        coldness.onRemoved(entry.worker)
         gone[key] = GoneEntry(entry, clock.nowMs() + GONE_MEMORY_MS)
         events.log("worker.removed", "worker" to entry.worker.id, "service" to entry.worker.service)
     }
--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -180,6 +180,8 @@
         val head = context.codecs.worker.read(status, headers)
         responseHead = head
         context.limits.onResponse(target, head.requestsPerSecond)
+        if (head.misdirected) context.limits.cold?.onNotReceived(target)
+        head.coldRemainingMs?.let { context.limits.cold?.onResponse(target, it) }
         if (head.leaving) context.notices.onLeaving(target)
         head.pauseMs?.let { context.notices.onPause(target, it) }
         val relayed = headers.endToEnd()
--- a/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
@@ -69,6 +69,10 @@
     val leaving: Boolean = false,
     /** For how long, in milliseconds, the worker wants nothing from this process; null if it does not say so. */
     val pauseMs: Long? = null,
+    /** Whether the request reached another worker than the one it was sent to, which refused it. */
+    val misdirected: Boolean = false,
+    /** For how long, in milliseconds, the worker says that it stays cold; null if it does not say. */
+    val coldRemainingMs: Long? = null,
 )
 
 /** Builds the headers of requests to workers and reads those of their responses. */
--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -91,6 +91,7 @@
                         context.clock.nowMs() - receivedAtMs,
                         inFlight.queue.waitingIn(pool),
                         inFlight.queue.sentLastSecond(pool),
+                        context.limits.cold?.perSecond(state.targets()) ?: 0.0,
                     ),
                 )
             }
--- a/routing/src/main/kotlin/auburnhall/routing/Admission.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Admission.kt
@@ -15,6 +15,8 @@
     val requestsAhead: Int,
     /** Requests that this process sent to the same targets in the last second. */
     val requestsSentLastSecond: Int,
+    /** Requests per second that this process may send to the cold ones of the same targets. */
+    val coldPerSecond: Double = 0.0,
 )
 
 /** Admission decision for a request. */
@@ -66,7 +68,10 @@
         }
     }
 
-    private fun expectedMs(queue: QueueState) = queue.requestsAhead * MS_PER_SECOND / (queue.requestsSentLastSecond + 1)
+    private fun expectedMs(queue: QueueState): Long {
+        val perSecond = maxOf(queue.requestsSentLastSecond + 1.0, queue.coldPerSecond)
+        return (queue.requestsAhead * MS_PER_SECOND / perSecond).toLong()
+    }
 
     private fun whenFull(
         choice: Choice.Full,
--- a/routing/src/main/kotlin/auburnhall/routing/DemandShare.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/DemandShare.kt
@@ -6,6 +6,7 @@
 package auburnhall.routing
 
 import auburnhall.core.Clock
+import kotlin.random.Random
 
 /** Computes the share of this process among [processes]; [pool] returns the targets that serve the same as one. */
 class DemandShare(
@@ -56,3 +57,62 @@
         const val AVERAGE_MS = 8_000.0
     }
 }
+
+/**
+ * The share of [process] if every other one sends as much. Holds without knowledge of the others' load, so that the
+ * shares of all processes add up to 1 at most, also after a start and while some are cut off. Traffic thread only.
+ */
+class EvenShare(
+    private val process: String,
+    private val clock: Clock,
+) : LoadShare {
+    private val settledAtMs = clock.nowMs() + SETTLE_MS
+    private var peers: Set<String> = emptySet()
+    private var earlier = 1
+    private var earlierUntilMs = clock.nowMs()
+
+    /** The other processes that are registered are [names]. */
+    fun onPeers(names: Set<String>) {
+        if (names.size < peers.size) {
+            earlier = assumed()
+            earlierUntilMs = clock.nowMs() + MEMORY_MS
+        }
+        peers = names
+    }
+
+    /**
+     * Fraction from 0 to 1 for [worker]. Those of processes that know each other lie evenly apart, in another order for
+     * each worker; those of processes that know nothing of each other lie at random.
+     */
+    fun phase(worker: TargetKey): Double {
+        val own = hash(process, worker)
+        val before = peers.count { hash(it, worker) < own }
+        return (before + Random(own).nextDouble()) / (peers.size + 1)
+    }
+
+    private fun hash(
+        name: String,
+        worker: TargetKey,
+    ): Int = Random(name.hashCode() * HASH_FACTOR + worker.text.hashCode()).nextInt()
+
+    override fun of(target: Target): Double = 1.0 / assumed()
+
+    private fun assumed(): Int {
+        val now = clock.nowMs()
+        val started = if (now < settledAtMs) MAX_PROCESSES else 1
+        val before = if (now < earlierUntilMs) earlier else 1
+        return maxOf(peers.size + 1, started, before)
+    }
+
+    private companion object {
+        /** After a start of all processes, their registrations reach each other within this time. */
+        const val SETTLE_MS = 3_000L
+
+        /** The largest number of processes that the system is designed for. */
+        const val MAX_PROCESSES = 370
+
+        /** A process that is cut off from the store serves on after its registration has expired. */
+        const val MEMORY_MS = 60_000L
+        const val HASH_FACTOR = 31
+    }
+}
--- a/routing/src/main/kotlin/auburnhall/routing/WorkerLimits.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/WorkerLimits.kt
@@ -1,13 +1,13 @@
 /*
- * Limits that workers in need name for the requests that they take from all processes together. Designed for many
- * processes that each send a few requests: each uses a share of each limit, and sends at points in time that lie evenly
- * apart and are not those of the others, so that the processes together keep to the limit, also in a burst, without
- * asking each other for every request. The shares follow the load of the processes.
+ * Limits for the requests that workers take from all processes together: those that workers in need name, and the rate
+ * of cold workers (ColdWorkers); the stricter holds. Designed for many processes that each send a few requests: each
+ * uses a share of each limit, and sends at points in time that lie evenly apart and are not those of the others, so
+ * that the processes together keep to the limit, also in a burst, without asking each other for every request. The
+ * shares of named limits follow the load of the processes.
  */
 package auburnhall.routing
 
 import auburnhall.core.Clock
-import kotlin.math.ceil
 
 /** What a worker last stated about its limit. */
 data class NamedLimit(
@@ -27,6 +27,8 @@
 class WorkerLimits(
     private val clock: Clock,
     private val share: LoadShare,
+    /** The workers that are cold; null if none can be. */
+    val cold: ColdWorkers? = null,
     /** Fraction from 0 to 1 that differs evenly between the processes, so that they send at different times. */
     private val phase: () -> Double,
 ) {
@@ -60,15 +62,17 @@
     }
 
     /** Time, in milliseconds, until a request may be sent to [target]; 0 if it may be sent now. */
-    fun waitMs(target: Target): Long = turnsOf(target)?.waitMs() ?: 0
+    fun waitMs(target: Target): Long = maxOf(turnsOf(target)?.waitMs() ?: 0, cold?.waitMs(target) ?: 0)
 
     /** A request is sent to [target]. */
     fun onSent(target: Target) {
         turnsOf(target)?.take()
+        cold?.onSent(target)
     }
 
     /** Forgets the limits that were not named again for [VALID_MS]; called periodically. */
     fun expire() {
+        cold?.expire()
         val now = clock.nowMs()
         byWorker.values.removeIf { now - it.limit.atMs >= VALID_MS }
         count = byWorker.values.count { it.limit.perSecond != null }
@@ -124,42 +128,3 @@
         private const val MS_PER_SECOND = 1_000.0
     }
 }
-
-/**
- * When a process may send requests to one worker: a turn comes each time that [count], which grows with the rate of the
- * process, reaches 1 more.
- */
-private class Turns(
-    private var count: Double,
-    private var atMs: Long,
-) {
-    private var perMs = 0.0
-
-    /** Adds the turns up to [now], at [rate] turns per millisecond, and drops those that are too old. */
-    fun advance(
-        now: Long,
-        rate: Double,
-    ) {
-        count += rate * (now - atMs)
-        atMs = now
-        perMs = rate
-        val excess = count - 1 - rate * VALID_MS
-        if (excess > 0) count -= ceil(excess)
-    }
-
-    /** Time, in milliseconds, from the last [advance] until the next turn; 0 if there is one. */
-    fun waitMs(): Long = if (count >= 1) 0 else ceil((1 - count) / perMs).toLong().coerceIn(1, MAX_WAIT_MS)
-
-    /** Takes a turn. */
-    fun take() {
-        count -= 1
-    }
-
-    private companion object {
-        /** Time for which a turn may be used; longer, and turns would add up to a burst that the worker feels. */
-        const val VALID_MS = 1_000
-
-        /** Stands for any longer wait. */
-        const val MAX_WAIT_MS = 60_000L
-    }
-}
