Merge the rate of cold workers

The end of an evacuation is passed to ColdWorkers on the traffic thread, before requests may go there again; by way of the control thread the workers would have been open for a moment without a limit.

--- a/core/src/main/kotlin/auburnhall/core/Settings.kt
+++ b/core/src/main/kotlin/auburnhall/core/Settings.kt
@@ -36,4 +36,7 @@
     val retryWindowMs: Long,
     /** Time, in milliseconds, within which an evacuation of a data centre is to be in force; null if not set. */
     val evacuateMs: Long? = null,
+    /** A cold worker must get fewer requests a second than its rate times this, plus [coldSlack]. */
+    val coldOverage: Double = 1.5,
+    val coldSlack: Double = 5.0,
 )
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -136,11 +136,10 @@
         evacuated: StoredEvacuations,
     ) {
         val targets = TargetTable(fleet, configuration.services.values, replicas)
-        traffic.scheduler.run { traffic.update(configuration, targets, evacuated) }
+        traffic.scheduler.run { traffic.update(configuration, fleet, targets, evacuated) }
     }
 
-    override fun onPeers(peers: Map<String, PeerProcess>) =
-        traffic.scheduler.run { traffic.peerMessenger.onPeers(peers) }
+    override fun onPeers(peers: Map<String, PeerProcess>) = traffic.scheduler.run { traffic.onPeers(peers) }
 
     override fun onQuarantined(part: QuarantinedPart) = traffic.scheduler.run { traffic.verdicts.adopt(part, "store") }
 
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
@@ -25,6 +25,9 @@
 private const val LIMITS = 10
 private const val EVACUATIONS = 11
 
+/** Those from 11 to 29 are for load reports and evacuations. */
+private const val COLDNESS = 30
+
 /** Status of a replica as one process reports it. */
 enum class ReplicaStatus {
     /** None of its streams advances; it may have lost a member. */
@@ -76,6 +79,8 @@
     @ProtoNumber(LIMITS) val limits: List<ReportedLimit> = emptyList(),
     /** Evacuations of data centres, begun or ended; empty in the other messages. */
     @ProtoNumber(EVACUATIONS) val evacuations: List<ReportedEvacuation> = emptyList(),
+    /** Workers that have stated that they are cold; empty in the other messages. */
+    @ProtoNumber(COLDNESS) val coldness: List<ReportedColdness> = emptyList(),
 ) {
     /** The loads of a load report, by target hash. */
     fun loads(): LoadsByHash =
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
@@ -92,6 +92,7 @@
             partReport != null -> parts.onReport(message.process, partReport)
             message.limits.isNotEmpty() -> limits.onReport(message.limits)
             message.evacuations.isNotEmpty() -> evacuations.onReport(message.process, message.evacuations)
+            message.coldness.isNotEmpty() -> limits.onColdness(message.coldness)
             replica != null -> onStatus(TargetKey(replica), message.replicaStatus)
             else -> loads.onMessage(message)
         }
--- a/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
@@ -7,6 +7,7 @@
 import auburnhall.core.Clock
 import auburnhall.core.Configuration
 import auburnhall.core.EventListener
+import auburnhall.core.Fleet
 import auburnhall.core.Replica
 import auburnhall.core.Settings
 import auburnhall.core.StoredEvacuations
@@ -28,7 +29,10 @@
 import auburnhall.platform.PlatformCallerCodec
 import auburnhall.platform.PlatformWorkerCodec
 import auburnhall.routing.AdmissionPolicy
+import auburnhall.routing.ColdBound
+import auburnhall.routing.ColdWorkers
 import auburnhall.routing.DemandShare
+import auburnhall.routing.EvenShare
 import auburnhall.routing.LoadTracker
 import auburnhall.routing.PartGuard
 import auburnhall.routing.PartGuardRuntime
@@ -67,7 +71,15 @@
     val verdicts = PartVerdicts(PartGuardRuntime(clock, scheduler, random::nextDouble), listener)
     private val share =
         DemandShare(clock, load, { peerMessenger.processes }) { context.state.targets.of(it.worker.service, it.model) }
-    private val limits = WorkerLimits(clock, share) { peerMessenger.phase }
+    private val evenShare = EvenShare(settings().processName, clock)
+    private val coldWorkers =
+        ColdWorkers(
+            clock,
+            evenShare,
+            { settings().bounds.let { ColdBound(it.coldOverage, it.coldSlack) } },
+            listener,
+        )
+    private val limits = WorkerLimits(clock, share, coldWorkers) { peerMessenger.phase }
     private val guards = GatewayGuards(PartGuard(clock, verdicts, listener), limits, WorkerNotices(clock, listener))
     private val client = HttpClient(loop, clock)
     private val context: GatewayContext =
@@ -118,6 +130,7 @@
 
     init {
         peerMessenger.evacuations.onChange = { dataCentres ->
+            coldWorkers.onEvacuationEnded(context.state.targets.evacuated - dataCentres)
             gateway.update(context.state.without(dataCentres))
             onEvacuated(dataCentres)
         }
@@ -132,6 +145,7 @@
             "Bytes of memory that the bodies of callers' requests take.",
         ) { callers.heldRequestBytes }
         metrics.gauge("auburnhall_limited_workers", "Workers that name a limit for requests.") { limits.count }
+        metrics.gauge("auburnhall_cold_workers", "Workers that are cold.") { coldWorkers.count }
         metrics.gauge("auburnhall_worker_connections", "Open connections to workers.") { client.openConnections }
         metrics.gauge(
             "auburnhall_worker_connects_total",
@@ -157,16 +171,27 @@
         scheduler.run { peerMessenger.start(settings().host) }
     }
 
-    /** Serves requests by [configuration] and [targets], less what is evacuated; [evacuated] is what the store says. */
+    /**
+     * Serves requests by [configuration] and [targets], the workers of [fleet], less what is evacuated; [evacuated] is
+     * what the store says.
+     */
     fun update(
         configuration: Configuration,
+        fleet: Fleet,
         targets: TargetTable,
         evacuated: StoredEvacuations,
     ) {
         peerMessenger.evacuations.onStored(evacuated)
+        coldWorkers.onFleet(fleet, configuration.services.values)
         gateway.update(GatewayState(configuration, targets.without(peerMessenger.evacuations.dataCentres)))
     }
 
+    /** The other processes are [peers]. */
+    fun onPeers(peers: Map<String, PeerProcess>) {
+        evenShare.onPeers(peers.keys)
+        peerMessenger.onPeers(peers)
+    }
+
     private fun retryBounds(): RetryBounds =
         settings().bounds.let { RetryBounds(it.retryRatio, it.retryWindowMs, it.extraRetries) }
 
