Read how many models a host keeps staged

Cause: a host that keeps one model loses the former one when another is staged, so the plan for staging has to know the number. Change: `retained` of an engine becomes EngineProfile.retainedModels, 1 if absent. Nothing uses it yet.

--- a/core/src/main/kotlin/auburnhall/core/Configuration.kt
+++ b/core/src/main/kotlin/auburnhall/core/Configuration.kt
@@ -84,6 +84,8 @@
     val stepsPerPass: Int,
     /** Prompt tokens read per second. */
     val promptTokensPerSecond: Double,
+    /** Number of models whose weights a host keeps; staging one more replaces the oldest. */
+    val retainedModels: Int = 1,
 )
 
 /** A service and the limits of its workers; [engine] is null for a plain service, which serves no models. */
