Stage the other model on all hosts; form no replica that waits for weights

Cause: a replica that lost a member was formed with one worker that loads its weights from the weight store (12 to 16 s), while its other members were idle; the plan also gave each domain fixed numbers of replicas, whatever it held.

Ruled out: loading cold members as part of the formation with a longer deadline, since a further loss within 16 s voids it; staging the other model on every host where one model is kept, since a domain that restarts would then lack copies of a model with more members than the rest of the domain has workers (the test of a restarting domain shows it).

Change: the models that a worker has not loaded are staged on its host, spares first, without limit before the first request and later with three quarters of the loads that run at full speed. Of the ways to form a replica in a domain or another one, the fastest is chosen by FormationTime; if it is to wait, its members are kept for that model, and workers without weights load it as spares or on their hosts. Plans keep the replicas that a domain has. Loads keep to the store's limit also in any 5 s and after a take-over. A fleet with one model forms replicas with cold members as before.

--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
@@ -24,10 +24,10 @@
         TeardownManager(context, monitor, formations::contains) { it.fabricDomain in spareDomains }
     private val availability = WorkerAvailability(context, monitor, formations, teardowns)
     private val survey = TakeoverSurvey(context.clock, needed = !context.term.firstStart)
-    private val limiter = WeightLoadLimiter(context.clock)
+    private val loads = LoadBudget(context, formations, availability)
     private val planCache = ReplicaPlanCache()
-    private val stagingRequested = HashSet<Pair<WorkerIncarnation, String>>()
     private var spareDomains: Set<String> = emptySet()
+    private var modelCount = 0
 
     /** The demand by model, as last counted. */
     var demand: Map<String, ModelDemand> = emptyMap()
@@ -42,6 +42,13 @@
             override fun freeMs(worker: Worker): Long = availability.freeMs(worker)
 
             override fun slotUtilization(model: String): Double? = demand[model]?.utilization
+
+            override fun pendingLoads(
+                domain: String,
+                model: Model,
+            ): List<PendingLoad> = loads.pending(domain, model)
+
+            override val coldMembersAllowed: Boolean get() = availability.loadsUnlimited || modelCount < 2
         }
 
     /** A process suspects the replica [key]: it has received no data from it within the failure detector's timeout. */
@@ -74,6 +81,8 @@
         tracker: ReplicaTracker,
     ): List<Order> {
         val workers = survey.corrected(fleet.ofService(context.service))
+        loads.update(workers)
+        modelCount = engine.models.size
         val orders = ArrayList<Order>()
         orders += monitor.probes(fleet, tracker)
         val formationOrders = formations.update(workers)
@@ -114,45 +123,47 @@
         val sizes = workers.filter { monitor.isUsable(it) }.groupingBy { it.fabricDomain.orEmpty() }.eachCount()
         val largest = sizes.values.maxOrNull() ?: 0
         val fullPlan = planCache.plan(sizes.mapValues { largest }, engine.models)
-        val plans = DomainPlans(planCache.plan(sizes, engine.models), fullPlan)
-        val placer = ReplicaPlacer(engine.models, plans, replicaCounts(workers), free, placementContext)
+        val present = replicaCounts(workers)
+        val plan = planCache.plan(sizes, engine.models, present)
+        val plans = DomainPlans(plan, fullPlan, ReplicaPlanner.capacity(sizes))
+        val counts = PlacementCounts(engine.models, plans, present)
+        val formationTime = FormationTime(engine, loads.runningCount)
+        val placer = ReplicaPlacer(engine.models, counts, free, placementContext, formationTime)
+        val inventory = WeightInventory(engine.models, placementContext)
         val placements = generateSequence { placer.next() }.toList()
-        val newReplicas = placements.map { begin(it, spare = false) }
+        val newReplicas = placements.map { begin(it, engine, inventory, spare = false) }
         spareDomains = free.domains
-        val sparePlanner = SparePlanner(engine.models, placer.plan, free, placementContext)
-        val newSpares = sparePlanner.modelsToLoad(availableLoads(engine)).map { begin(it, spare = true) }
-        return (newReplicas + newSpares).flatMap { formations.joinOrders.orders(it) } +
-            stagingOrders(sparePlanner, engine)
+        val spares = freeWorkers.mapTo(HashSet()) { it.incarnation }
+        val needs = SpareNeeds(plan, counts.coverage(), placer.loadsWanted)
+        val sparePlanner = SparePlanner(engine.models, needs, free, placementContext)
+        val newSpares =
+            sparePlanner.modelsToLoad(loads.forSpares(engine)).map { begin(it, engine, inventory, spare = true) }
+        val forming = formations.all.flatMapTo(HashSet()) { it.memberIds }
+        val settled = workers.filter { monitor.isUsable(it) && it.id !in forming }
+        val staging = StagingPlanner(engine, needs, inventory).wanted(settled, spares)
+        return (newReplicas + newSpares).flatMap { formations.joinOrders.orders(it) } + stagingOrders(staging, engine)
     }
 
     private fun begin(
         placement: Placement,
+        engine: EngineProfile,
+        inventory: WeightInventory,
         spare: Boolean,
     ): FormingReplica {
-        val cold = placement.members.count { isCold(it, placement.model) }
-        repeat(cold) { limiter.onLoadStarted() }
-        return formations.begin(placement.model, placement.members, cold, spare)
+        val cold = placement.members.filter { !inventory.locality(it, placement.model).isWarm }
+        cold.forEach { loads.begin(it, placement.model, engine) }
+        return formations.begin(placement.model, placement.members, cold.size, spare)
     }
 
-    /** Whether [worker] would have to load the weights of [model] from the weight store. */
-    private fun isCold(
-        worker: Worker,
-        model: Model,
-    ) = model.name !in worker.stagedModels && model.name !in worker.loadedModels
-
     private fun stagingOrders(
-        sparePlanner: SparePlanner,
+        wanted: List<Placement>,
         engine: EngineProfile,
     ): List<Order> {
-        val planned = sparePlanner.modelsToStage(minOf(availableLoads(engine), engine.coldLoadsAtFullSpeed))
-        val notRequested = planned.filter { stagingRequested.add(it.members.first().incarnation to it.model.name) }
-        repeat(notRequested.size) { limiter.onLoadStarted() }
-        return notRequested.map { Order.Stage(it.members.first(), it.model.name) }
+        val chosen = wanted.filter { !loads.isLoading(it.members.first(), it.model) }.take(loads.forStaging(engine))
+        chosen.forEach { loads.begin(it.members.first(), it.model, engine) }
+        return chosen.map { Order.Stage(it.members.first(), it.model.name) }
     }
 
-    private fun availableLoads(engine: EngineProfile): Int =
-        if (availability.loadsUnlimited) Int.MAX_VALUE else limiter.permits(engine.coldLoadsPerSecond).coerceAtLeast(0)
-
     /** Counts the replicas that serve or are being formed, by domain and model. */
     private fun replicaCounts(workers: List<Worker>): Map<Pair<String, String>, Int> {
         val forming = formations.all.filter { !it.spare }.map { it.head.fabricDomain.orEmpty() to it.model }
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaPlacer.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaPlacer.kt
@@ -46,79 +46,177 @@
 
     /** Share of the slots of the model's replicas that is in use, 0 or more; null when not known. */
     fun slotUtilization(model: String): Double?
+
+    /** Loads of [model] that free workers and spares of [domain] carry out now. */
+    fun pendingLoads(
+        domain: String,
+        model: Model,
+    ): List<PendingLoad>
+
+    /** Whether members that have to load the weights may join a replica that is formed. */
+    val coldMembersAllowed: Boolean
 }
 
 /** Planned replicas by domain and model. */
 class DomainPlans(
-    /** With the workers that each domain has now. */
+    /** With the workers and the replicas that each domain has now. */
     val current: Map<String, DomainPlan>,
     /** With as many workers in each domain as in the largest. */
     val full: Map<String, DomainPlan>,
+    /** Number of workers that each domain may put into replicas. */
+    val capacity: Map<String, Int>,
 )
 
+/** The replicas that serve or are being formed, against the plans. */
+class PlacementCounts(
+    private val models: List<Model>,
+    private val plans: DomainPlans,
+    present: Map<Pair<String, String>, Int>,
+) {
+    private val counts = present.toMutableMap()
+
+    /** Adds a replica of [model] in [domain]. */
+    fun add(
+        domain: String,
+        model: Model,
+    ) {
+        counts.merge(domain to model.name, 1, Int::plus)
+    }
+
+    /** Number of replicas of [model]. */
+    fun totalOf(model: Model): Int = counts.filterKeys { it.second == model.name }.values.sum()
+
+    /** Number of replicas of [model] that are planned. */
+    fun plannedOf(model: Model): Int = plans.current.values.sumOf { it[model.name] ?: 0 }
+
+    /** Whether a further replica of [model] is planned in [domain]. */
+    fun isPlanned(
+        model: Model,
+        domain: String,
+    ): Boolean = (counts[domain to model.name] ?: 0) < (plans.current[domain]?.get(model.name) ?: 0)
+
+    /** Whether [domain] holds as many replicas of [model] as it does when it has all its workers. */
+    fun isFull(
+        model: String,
+        domain: String,
+    ): Boolean = (counts[domain to model] ?: 0) >= (plans.full[domain]?.get(model) ?: 0)
+
+    /** Whether [domain] has as many workers beyond its reserve and its replicas as [model] needs. */
+    fun fits(
+        model: Model,
+        domain: String,
+    ): Boolean = (plans.capacity[domain] ?: 0) - ReplicaPlanner.used(domain, models, counts) >= model.size
+
+    /** The replicas of each model, relative to those of a fleet whose domains have all their workers. */
+    fun coverage(): Map<String, Double> =
+        models.associate { model ->
+            val full = plans.full.values.sumOf { it[model.name] ?: 0 }
+            model.name to if (full == 0) 1.0 else totalOf(model).toDouble() / full
+        }
+}
+
 /** Places replicas one at a time until the plan is met or no suitable workers are left. */
 class ReplicaPlacer(
     private val models: List<Model>,
-    plans: DomainPlans,
-    replicaCounts: Map<Pair<String, String>, Int>,
+    private val counts: PlacementCounts,
     private val free: FreeWorkers,
     private val placementContext: PlacementContext,
+    private val formationTime: FormationTime,
 ) {
     private val inventory = WeightInventory(models, placementContext)
-    private val counts = replicaCounts.toMutableMap()
-    private val fullPlan = plans.full
 
-    /** The planned replicas by domain and model with the workers that there are now. */
-    val plan: Map<String, DomainPlan> = plans.current
+    /** Models that free workers should load first, so that a replica which waits for them can be formed. */
+    val loadsWanted = LinkedHashMap<WorkerIncarnation, Model>()
 
-    /** Returns the next replica to form, for the model with the highest utilization first; null when there is none. */
+    /**
+     * Returns the next replica to form, for the model with the highest utilization first; null when there is none. A
+     * replica that would wait for weights is not formed; its other members stay free, and no other model gets them.
+     */
     fun next(): Placement? {
         val mostUtilizedFirst =
             compareBy<Model>(
                 { -(placementContext.slotUtilization(it.name) ?: 0.0) },
-                { totalOf(it) / ReplicaPlanner.demand(it) },
+                { counts.totalOf(it) / ReplicaPlanner.demand(it) },
             )
-        val domains = free.domains.sorted()
-        val placement =
-            models.sortedWith(mostUtilizedFirst).firstNotNullOfOrNull { model ->
-                domains.firstNotNullOfOrNull { place(model, it) }
-            }
-        placement?.let(::commit)
-        return placement
+        val held = HashSet<WorkerIncarnation>()
+        loadsWanted.clear()
+        return models.sortedWith(mostUtilizedFirst).firstNotNullOfOrNull { place(it, held) }?.also(::commit)
     }
 
     private fun commit(placement: Placement) {
         free.remove(placement.members)
-        val domain =
-            placement.members
-                .first()
-                .fabricDomain
-                .orEmpty()
-        counts.merge(domain to placement.model.name, 1, Int::plus)
+        counts.add(domainOf(placement), placement.model)
     }
 
+    private fun domainOf(placement: Placement) =
+        placement.members
+            .first()
+            .fabricDomain
+            .orEmpty()
+
+    /** Returns the replica of [model] to form now; adds the members of those that have to wait to [held]. */
     private fun place(
         model: Model,
-        domain: String,
+        held: MutableSet<WorkerIncarnation>,
     ): Placement? {
-        val planned = plan[domain]?.get(model.name) ?: 0
-        if ((counts[domain to model.name] ?: 0) >= planned) return null
+        val missing = counts.plannedOf(model) - counts.totalOf(model)
+        if (missing <= 0) return null
+        val (planned, others) = free.domains.sorted().partition { counts.isPlanned(model, it) }
+        val inPlan = options(model, planned, held)
+        val elsewhere =
+            if (inPlan.any(
+                    ::isFormedNow,
+                )
+            ) {
+                emptyList()
+            } else {
+                options(model, others.filter { counts.fits(model, it) }, held)
+            }
+        val fastest = (inPlan + elsewhere).minByOrNull { it.serviceMs }
+        val chosen = fastest?.takeIf(::isFormedNow)
+        if (chosen == null) (inPlan + elsewhere).take(missing).forEach { hold(it, held) }
+        return chosen?.placement
+    }
+
+    private fun isFormedNow(option: FormationOption) =
+        option is FormationOption.AtOnce ||
+            (option is FormationOption.WithColdMembers && placementContext.coldMembersAllowed)
+
+    private fun hold(
+        option: FormationOption,
+        held: MutableSet<WorkerIncarnation>,
+    ) {
+        held += option.placement.members.map { it.incarnation }
+        if (option !is FormationOption.WithColdMembers) return
+        option.cold.forEach { loadsWanted[it.incarnation] = option.placement.model }
+    }
+
+    private fun options(
+        model: Model,
+        domains: List<String>,
+        held: Set<WorkerIncarnation>,
+    ) = domains.mapNotNull { option(model, it, held) }.sortedBy { it.serviceMs }
+
+    private fun option(
+        model: Model,
+        domain: String,
+        held: Set<WorkerIncarnation>,
+    ): FormationOption? {
         val short = isShort(model)
         val usable =
             free.inDomain(domain).filter {
-                inventory.locality(it, model) != WeightLocality.OTHER_MODEL ||
-                    (short && isReassignable(it, domain))
+                val fits = inventory.locality(it, model) != WeightLocality.OTHER_MODEL
+                it.incarnation !in held && (fits || (short && isReassignable(it, domain)))
             }
-        val ranked = usable.sortedWith(compareBy({ inventory.locality(it, model) }, { it.id }))
-        return if (ranked.size < model.size) null else Placement(model, ranked.take(model.size))
+        val pending = placementContext.pendingLoads(domain, model)
+        return FormationOptions(model, inventory, formationTime).inDomain(usable, pending)
     }
 
     /** Whether [model] has so few replicas, or so highly utilized ones, that workers with other models may join it. */
     private fun isShort(model: Model): Boolean {
-        val planned = plan.values.sumOf { it[model.name] ?: 0 }
         val others = (models - model).maxOfOrNull { placementContext.slotUtilization(it.name) ?: 0.0 } ?: 0.0
         val overloaded = (placementContext.slotUtilization(model.name) ?: 0.0) > maxOf(others, HIGH_UTILIZATION)
-        return overloaded || totalOf(model) < planned * SHORTAGE_RATIO
+        return overloaded || counts.totalOf(model) < counts.plannedOf(model) * SHORTAGE_RATIO
     }
 
     /**
@@ -130,12 +228,10 @@
         domain: String,
     ): Boolean {
         val model = inventory.loaded(worker) ?: inventory.staged(worker)?.name
-        val filled = model == null || (counts[domain to model] ?: 0) >= (fullPlan[domain]?.get(model) ?: 0)
+        val filled = model == null || counts.isFull(model, domain)
         return filled || placementContext.freeMs(worker) >= DOMAIN_RETURN_MS
     }
 
-    private fun totalOf(model: Model) = counts.filterKeys { it.second == model.name }.values.sum()
-
     private companion object {
         /** Share of the planned replicas below which a model has too few. */
         const val SHORTAGE_RATIO = 0.7
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaPlanner.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaPlanner.kt
@@ -37,20 +37,33 @@
      * Returns the plan by domain for domains with [sizes] workers. The largest domain is assumed to be complete;
      * smaller ones have lost workers and use up their reserve. Models with large replicas are placed first, since small
      * replicas fit into the rest. Of all possible numbers of large replicas, the one is chosen that gives the model
-     * with the fewest replicas per demand the most.
+     * with the fewest replicas per demand the most. The replicas that are [present], by domain and model, stay.
      */
     fun plan(
         sizes: Map<String, Int>,
         models: List<Model>,
+        present: Map<Pair<String, String>, Int> = emptyMap(),
     ): Map<String, DomainPlan> {
-        val fullSize = sizes.values.maxOrNull() ?: 0
-        val maxMembers = fullSize - reserve(fullSize)
-        val freeWorkers = sizes.mapValues { (_, workers) -> minOf(workers, maxMembers) }
         if (models.isEmpty()) return sizes.mapValues { emptyMap() }
-        return best(models.sortedByDescending { it.size }, PartialPlan(freeWorkers, emptyMap()), models)
+        val freeWorkers = capacity(sizes).mapValues { (domain, workers) -> workers - used(domain, models, present) }
+        return best(models.sortedByDescending { it.size }, PartialPlan(freeWorkers, present), models)
             .byDomain(sizes.keys)
     }
 
+    /** Number of workers that each of the domains with [sizes] workers may put into replicas. */
+    fun capacity(sizes: Map<String, Int>): Map<String, Int> {
+        val fullSize = sizes.values.maxOrNull() ?: 0
+        val maxMembers = fullSize - reserve(fullSize)
+        return sizes.mapValues { (_, workers) -> minOf(workers, maxMembers) }
+    }
+
+    /** Number of workers of [domain] that are members of the replicas that are [present]. */
+    fun used(
+        domain: String,
+        models: List<Model>,
+        present: Map<Pair<String, String>, Int>,
+    ): Int = models.sumOf { (present[domain to it.name] ?: 0) * it.size }
+
     private fun best(
         models: List<Model>,
         partial: PartialPlan,
@@ -109,23 +122,31 @@
     }
 }
 
+/** What a plan depends on. */
+private data class PlanInput(
+    val sizes: Map<String, Int>,
+    val models: List<Model>,
+    val present: Map<Pair<String, String>, Int>,
+)
+
 /**
- * Caches the last plans: a plan is needed at each decision but changes only when a domain gains or loses workers.
- * Control thread only.
+ * Caches the last plans: a plan is needed at each decision but changes only when a domain gains or loses workers or
+ * replicas. Control thread only.
  */
 class ReplicaPlanCache {
     private val plans =
-        object : LinkedHashMap<Pair<Map<String, Int>, List<Model>>, Map<String, DomainPlan>>() {
-            override fun removeEldestEntry(
-                eldest: MutableMap.MutableEntry<Pair<Map<String, Int>, List<Model>>, Map<String, DomainPlan>>,
-            ) = size > MAX_PLANS
+        object : LinkedHashMap<PlanInput, Map<String, DomainPlan>>() {
+            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<PlanInput, Map<String, DomainPlan>>) =
+                size > MAX_PLANS
         }
 
     /** Same as [ReplicaPlanner.plan]. */
     fun plan(
         sizes: Map<String, Int>,
         models: List<Model>,
-    ): Map<String, DomainPlan> = plans.getOrPut(sizes to models) { ReplicaPlanner.plan(sizes, models) }
+        present: Map<Pair<String, String>, Int> = emptyMap(),
+    ): Map<String, DomainPlan> =
+        plans.getOrPut(PlanInput(sizes, models, present)) { ReplicaPlanner.plan(sizes, models, present) }
 
     private companion object {
         /** Enough for the plans with current and with full domain sizes, before and after a loss. */
--- a/replica/src/main/kotlin/auburnhall/replica/SparePlanner.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/SparePlanner.kt
@@ -1,17 +1,25 @@
 /*
- * Chooses which models spares hold, so that several losses in a row can be covered: a spare loads the model whose
- * members in its domain have the fewest spares, and stages a second model on its host. A replica of either can then be
- * formed without loading weights from the weight store.
+ * Chooses which models spares load, so that several losses in a row can be covered: a spare without weights loads the
+ * model that is short of replicas, else the one whose members in its domain have the fewest spares.
  */
 package auburnhall.replica
 
 import auburnhall.core.Model
-import auburnhall.core.Worker
+
+/** What the replicas need of spares. */
+class SpareNeeds(
+    /** Planned replicas by domain and model. */
+    val plan: Map<String, DomainPlan>,
+    /** Replicas of each model relative to those of a complete fleet; below 1 the model is short of replicas. */
+    val coverage: Map<String, Double>,
+    /** Models that replicas wait for, by the worker that is to load them. */
+    val loadsWanted: Map<WorkerIncarnation, Model>,
+)
 
 /** Plans the spares among the workers that are left in [free]. */
 class SparePlanner(
     private val models: List<Model>,
-    private val plan: Map<String, DomainPlan>,
+    private val needs: SpareNeeds,
     private val free: FreeWorkers,
     private val placementContext: PlacementContext,
 ) {
@@ -29,13 +37,6 @@
         return chosen
     }
 
-    /** Returns the second models to stage on the hosts of free workers with a loaded one, at most [loads]. */
-    fun modelsToStage(loads: Int): List<Placement> =
-        free.domains
-            .sorted()
-            .flatMap { domain -> free.inDomain(domain).mapNotNull { secondModel(it, domain) } }
-            .take(loads)
-
     private fun inDomain(domain: String): List<Placement> {
         val workers = free.inDomain(domain)
         val spares =
@@ -47,24 +48,19 @@
         return workers
             .filter { inventory.loaded(it) == null && placementContext.freeMs(it) >= FREE_SETTLE_MS }
             .mapNotNull { worker ->
-                val model = inventory.staged(worker) ?: leastCovered(domain, spares)
+                val model =
+                    needs.loadsWanted[worker.incarnation] ?: inventory.staged(worker) ?: shortModel(domain)
+                        ?: leastCovered(domain, spares)
                 model?.let { spares.merge(it.name, 1, Int::plus) }
                 model?.let { Placement(it, listOf(worker)) }
             }
     }
 
-    private fun secondModel(
-        worker: Worker,
-        domain: String,
-    ): Placement? {
-        val loaded = worker.membership?.let { inventory.loaded(worker) }
-        val others = models.filter { it.name != loaded && members(domain, it) > 0 }
-        val hasOther = worker.stagedModels.any { it != loaded }
-        return others
-            .maxByOrNull { it.size }
-            ?.takeIf { loaded != null && !hasOther }
-            ?.let { Placement(it, listOf(worker)) }
-    }
+    /** The model that is the furthest below its full number of replicas and can be served in [domain]. */
+    private fun shortModel(domain: String): Model? =
+        models
+            .filter { (needs.coverage[it.name] ?: 1.0) < 1.0 && members(domain, it) > 0 }
+            .minByOrNull { needs.coverage.getValue(it.name) }
 
     /** The model with the most planned members per spare in [domain]; [spares] counts the spares by model. */
     private fun leastCovered(
@@ -80,7 +76,7 @@
     private fun members(
         domain: String,
         model: Model,
-    ) = (plan[domain]?.get(model.name) ?: 0) * model.size
+    ) = (needs.plan[domain]?.get(model.name) ?: 0) * model.size
 
     private companion object {
         /** After an outage of a domain, its workers are listed one after the other within this time. */
--- a/replica/src/main/kotlin/auburnhall/replica/WeightInventory.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/WeightInventory.kt
@@ -3,6 +3,7 @@
  */
 package auburnhall.replica
 
+import auburnhall.core.MemberState
 import auburnhall.core.Model
 import auburnhall.core.ReplicaName
 import auburnhall.core.Worker
@@ -20,8 +21,19 @@
 
     /** Nowhere, but it has another model. */
     OTHER_MODEL,
+    ;
+
+    /** Whether a worker joins a replica of the model without a load from the weight store. */
+    val isWarm: Boolean get() = this == LOADED || this == STAGED
 }
 
+/** Whether [worker] is a member of a replica of [model], or a spare for it, and has loaded the weights. */
+fun isReadyFor(
+    worker: Worker,
+    model: String,
+): Boolean =
+    worker.membership?.let { it.state != MemberState.JOINING && ReplicaName.modelOf(it.replica) == model } == true
+
 /** Looks up which of [models] workers have. */
 class WeightInventory(
     private val models: List<Model>,
--- a/replica/src/main/kotlin/auburnhall/replica/WorkerAvailability.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/WorkerAvailability.kt
@@ -20,6 +20,10 @@
     private var listedSinceMs = startedAtMs
     private var settled = false
 
+    /** The workers that the last call of [free] returned. */
+    var lastFree: List<Worker> = emptyList()
+        private set
+
     /** Whether the rate of weight loads is not limited, since no request has been served yet. */
     val loadsUnlimited: Boolean
         get() = context.term.firstStart && context.clock.nowMs() - startedAtMs < UNLIMITED_LOADS_MS
@@ -53,6 +57,7 @@
         val open = workers.filter(teardowns::isServingHead).mapTo(HashSet()) { checkNotNull(it.membership).key }
         val free = workers.filter { monitor.isUsable(it) && it.incarnation !in forming && !isMember(it, open) }
         freeSinceMs.keys.retainAll(free.mapTo(HashSet()) { it.incarnation })
+        lastFree = free
         free.forEach { freeSinceMs.getOrPut(it.incarnation) { context.clock.nowMs() } }
         return free
     }
