Leave free slots to requests that can still be on time

Cause: after the loss of all processes about 1,100 callers return within 0.75 s, all late already; they take every slot, and requests that come behind them, on time, wait 0.5 to 1.1 s. A process took a free slot for a late request as readily as for any other, and a returning caller counted as a new one, since its age began when it reached this process.

Ruled out: one queue over all processes (no process may hold it); refusing late requests at once (callers retry only once); new fields for late requests in the load reports (the surplus tells the same once requests end at different times).

--- a/routing/src/main/kotlin/auburnhall/routing/Admission.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Admission.kt
@@ -50,6 +50,7 @@
             is Choice.Send -> Admission.Send(choice.target, choice.load)
             is Choice.None -> refuse("no target", NO_TARGET_RETRY_MS)
             is Choice.Full -> whenFull(choice, queue)
+            is Choice.Reserved -> waitForSlot(queue)
             is Choice.Limited -> whenLimited(choice, queue)
         }
 
@@ -73,13 +74,12 @@
         queue: QueueState,
     ): Admission {
         val limit = choice.target.slots * (if (choice.target.replica == null) PLAIN_OVERCOMMIT else REPLICA_OVERCOMMIT)
-        return when {
-            choice.load < limit -> Admission.Send(choice.target, choice.load)
-            queue.waitedMs + expectedMs(queue) < MAX_WAIT_MS -> Admission.Wait
-            else -> refuse("targets full", FULL_RETRY_MS)
-        }
+        return if (choice.load < limit) Admission.Send(choice.target, choice.load) else waitForSlot(queue)
     }
 
+    private fun waitForSlot(queue: QueueState): Admission =
+        if (queue.waitedMs + expectedMs(queue) < MAX_WAIT_MS) Admission.Wait else refuse("targets full", FULL_RETRY_MS)
+
     private fun refuse(
         reason: String,
         baseMs: Long,
