Count the calls to the store by kind

Each call to the store has a price, but nothing showed how many a process makes, or of which kind. CountedStore wraps the client of the store and feeds the metric auburnhall_store_calls_total{kind}. Counting in HttpStore was ruled out, since the simulated processes of the tests do not use it.

SimulatedFleet counts with the same class. Its store can leave watches unanswered for a time (mutesWatches).

--- a/entry/src/main/kotlin/auburnhall/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryMetrics.kt
@@ -45,6 +45,13 @@
             .help("Connections of callers closed with bytes unsent or requests unanswered, by reason.")
             .labelNames("reason")
             .register(registry)
+    private val storeCalls =
+        Counter
+            .builder()
+            .name("auburnhall_store_calls_total")
+            .help("Calls to the store, by kind.")
+            .labelNames("kind")
+            .register(registry)
     private val latency =
         Histogram
             .builder()
@@ -72,6 +79,9 @@
     /** A caller's connection was closed with bytes unsent or requests unanswered. */
     fun onConnectionCut(reason: CloseReason) = cutConnections.labelValues(reason.name.lowercase()).inc()
 
+    /** A call to the store is made. */
+    fun onStoreCall(kind: StoreCallKind) = storeCalls.labelValues(kind.label).inc()
+
     /** Registers a gauge; [value] is called at each scrape. */
     fun gauge(
         name: String,
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -91,7 +91,7 @@
         val client = HttpClient(controlLoop, clock)
         ConnectionObserver(log, metrics).observe(client)
         val bufferedClient = BufferedHttpClient(client, control)
-        val store = HttpStore(client, bufferedClient) { settings.storeAddress }
+        val store = CountedStore(HttpStore(client, bufferedClient) { settings.storeAddress }, metrics::onStoreCall)
         val context = ControlContext(settings, store, clock, control, random, log)
         return ControlPlane(context, WorkerClient(bufferedClient), bridge, options.relayMinProcesses) { name, address ->
             PeerChangeSource(name, address, bufferedClient)
--- a/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
@@ -25,6 +25,7 @@
 import auburnhall.test.FakeScheduler
 import auburnhall.test.FakeStoreClient
 import auburnhall.test.RecordingListener
+import java.util.EnumMap
 import kotlin.random.Random
 
 /** [processes] processes, which relay changes when there are at least [relayFrom]. */
@@ -36,6 +37,9 @@
     val time = FakeScheduler()
     val store = FakeKeyValueStore(time, delayMs = 4, leasesExpire = true)
 
+    /** Number of calls of all processes to the store, by kind. */
+    val calls = EnumMap<StoreCallKind, Int>(StoreCallKind::class.java)
+
     /** What must never happen and did. */
     val violations = ArrayList<String>()
     private val processesByName = LinkedHashMap<String, SimulatedProcess>()
@@ -50,9 +54,12 @@
     init {
         writeConfiguration()
         repeat(WORKERS) { addWorker() }
-        repeat(processes) { start("n%02d".format(it)) }
+        addProcesses(processes)
     }
 
+    /** Starts [count] more processes. */
+    fun addProcesses(count: Int) = repeat(count) { start("n%02d".format(starts)) }
+
     /** Advances the time by [ms] milliseconds and checks what must hold always. */
     fun advance(ms: Long) {
         val until = time.nowMs() + ms
@@ -189,7 +196,8 @@
         private val limits = OperatorLimits(8_000, 0.2, 10, 10_000)
         private val settings = Settings(name, "z", name, address, address, 1, address, 1_000, true, limits)
         private val random = Random(seed * 1_000 + start)
-        private val context = ControlContext(settings, client, time, scheduler, random, RecordingListener())
+        private val countedStore = CountedStore(client) { calls.merge(it, 1, Int::plus) }
+        private val context = ControlContext(settings, countedStore, time, scheduler, random, RecordingListener())
         val plane = ControlPlane(context, UNUSED_WORKERS, this, relayFrom) { peer, _ -> sourceOf(peer) }
         val quarantined = HashSet<String>()
         val leading: Boolean get() = plane.isLeading
--- a/test/src/main/kotlin/auburnhall/test/FakeKeyValueStore.kt
+++ b/test/src/main/kotlin/auburnhall/test/FakeKeyValueStore.kt
@@ -49,6 +49,13 @@
     /** Whether writes are applied but their responses are lost. */
     var dropsResponses = false
 
+    /** Whether watches are not answered until it is false again. */
+    var mutesWatches = false
+        set(value) {
+            field = value
+            if (!value) watches.toList().forEach { it.finishIfOverdue() }
+        }
+
     /** Number of calls by operation. */
     val calls = HashMap<String, Int>()
 
@@ -140,7 +147,7 @@
         count("watch")
         val watch = Watch(prefix, revision, done)
         watches.add(watch)
-        scheduler.after(waitMs) { watch.finish(Ok(StoreChanges(emptyList(), revision))) }
+        scheduler.after(waitMs) { watch.onWaitOver() }
         scheduler.after(delayMs) { watch.finishIfDue() }
     }
 
@@ -237,7 +244,20 @@
         private val after: Long,
         private val done: StoreCallback<StoreChanges>,
     ) {
+        private var waitOver = false
+
+        fun finishIfOverdue() {
+            finishIfDue()
+            if (waitOver) onWaitOver()
+        }
+
+        fun onWaitOver() {
+            waitOver = true
+            if (!mutesWatches) finish(Ok(StoreChanges(emptyList(), after)))
+        }
+
         fun finishIfDue() {
+            if (mutesWatches) return
             val changes = history.filter { it.first > after && it.second.key.startsWith(prefix) }.map { it.second }
             when {
                 outage != null -> finish(Err(checkNotNull(outage)))
