Read the store's items from pages that may be old

The pages are now read with serializable=1, which costs a tenth. The changes after the oldest page are taken from the parent in the relay tree that the pages show, within 50 ms and only if its state is recent; otherwise from a watch of the store with a wait of 1 ms. Nothing is passed on before that, so a process that starts knows what the store acknowledged, as before. If the store has dropped these changes, or a page is of the era before a restore, the pages are read in full.

Before the first controller is known, the processes take changes from the first one by name rather than each from the store.

Ruled out: passing old items on and correcting them afterwards, since a removed controller key or evacuation must not be acted on.

A watch that was due to begin after a pause no longer begins beside a load that was started meanwhile.

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -75,6 +75,7 @@
 
     init {
         mirror.relaySelector = RelaySelector(context, this, relayMinProcesses, connect)
+        mirror.onConfirmed = relay::onConfirmed
         context.store.onNewEra = {
             context.events.log("store.restored", "era" to context.store.era, "mirrored" to mirror.position)
             leadership.onNewEra()
@@ -130,8 +131,6 @@
         view.publish(revision)
     }
 
-    override fun onConfirmed() = relay.onConfirmed()
-
     override fun onLeadershipAcquired(position: StorePosition) {
         val first = context.settings.firstStart && context.clock.nowMs() - startedAtMs < FIRST_TERM_MAX_AGE_MS
         val firstEpoch = position.era * EPOCHS_PER_ERA + position.revision * EPOCHS_PER_REVISION
--- a/entry/src/main/kotlin/auburnhall/entry/CountedStore.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/CountedStore.kt
@@ -16,6 +16,7 @@
     val tenths: Int,
 ) {
     RANGE(FULL),
+    SERIALIZABLE_RANGE(TENTH),
     WATCH(FULL),
     TRANSACTION(FULL),
     LEASE(FULL),
@@ -38,10 +39,11 @@
     override fun range(
         prefix: String,
         afterKey: String?,
+        mayBeOld: Boolean,
         done: StoreCallback<StorePage>,
     ) {
-        onCall(StoreCallKind.RANGE)
-        store.range(prefix, afterKey, done)
+        onCall(if (mayBeOld) StoreCallKind.SERIALIZABLE_RANGE else StoreCallKind.RANGE)
+        store.range(prefix, afterKey, mayBeOld, done)
     }
 
     override fun watch(
--- a/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
@@ -30,9 +30,6 @@
 
     /** All changes up to [revision] were passed to this listener. */
     fun onBatch(revision: Long)
-
-    /** A source confirmed how recent the state is, with or without changes. */
-    fun onConfirmed() = Unit
 }
 
 /** Timing of a mirror's watches. */
@@ -58,8 +55,10 @@
     private val loader = StoreLoader(context, availability, ::onLoaded)
     private var lastWatchId = 0L
     private var source: SelectedSource? = null
-    private var upToDateAtMs: Long? = null
-    private var sourceLostStore = false
+    private val age = StateAge(context.clock)
+
+    /** Called when a source has said how recent the state is, with or without changes; set before [start]. */
+    var onConfirmed: () -> Unit = {}
 
     /** Selects the source of each watch, the store when null; set before [start]. */
     var relaySelector: RelaySelector? = null
@@ -70,9 +69,9 @@
     /** The store's revision up to which all changes are included. */
     val revision: Long get() = position.revision
 
-    override val ageMs: Long? get() = upToDateAtMs?.let { context.clock.nowMs() - it }
+    override val ageMs: Long? get() = age.ageMs
 
-    override val storeWasUnavailable: Boolean get() = sourceLostStore || availability.wasUnavailable
+    override val storeWasUnavailable: Boolean get() = age.sourceLostStore || availability.wasUnavailable
 
     /** Whether the last request to the store failed. */
     val disconnected: Boolean get() = availability.lost
@@ -88,7 +87,7 @@
     fun start() {
         lastWatchId++
         source = null
-        loader.start()
+        if (loaded) loader.start() else loader.start { relaySelector?.firstSource(it) }
     }
 
     /** The store was restored; entries that the copy lacks may be written again. */
@@ -106,19 +105,18 @@
         if (waiting.peer != null && !waiting.outdated && relaySelector?.isTooOld(ageMs) == true) watch()
     }
 
-    private fun onLoaded(
-        read: Map<String, StoreItem>,
-        at: StorePosition,
-    ) {
-        position = at
-        items.replace(read, at)
-        upToDateAtMs = context.clock.nowMs()
+    private fun onLoaded(read: LoadedItems) {
+        position = read.at
+        items.replace(read.items, read.at)
+        age.onLoaded(read.ageMs)
         loaded = true
         listener.onBatch(revision)
         watch()
     }
 
-    private fun watch() {
+    /** Watches for changes, unless a watch or a load was started since [expectedId] was the last watch. */
+    private fun watch(expectedId: Long = lastWatchId) {
+        if (expectedId != lastWatchId) return
         val selected = relaySelector?.next(ageMs) ?: SelectedSource(StoreChangeSource(context.store))
         val id = ++lastWatchId
         source = selected
@@ -150,37 +148,36 @@
         from: SelectedSource,
         received: ChangeBatch,
     ) {
+        val id = lastWatchId
         val peer = from.peer
         if (peer != null && received.era != position.era) {
-            onPeerFailed(peer, "its state is of era ${received.era}, not ${position.era}")
+            context.events.log("relay.other_era", "source" to peer, "era" to received.era, "position" to position)
+            onWatchError(from, StoreError.HistoryGone)
             return
         }
         if (peer == null) availability.onAnswer() else relaySelector?.onAnswered()
-        confirm(received)
+        // Leases may have expired while no source had a recent state, whatever the first one that has it knows.
+        val outdated = relaySelector?.isTooOld(ageMs) == true
+        if (outdated && age.sourceLostStore && !received.storeWasUnavailable) availability.onRestored()
+        age.onConfirmed(received)
         val batch = received.changes
         batch.changes.forEach(items::apply)
         position = position.copy(revision = maxOf(revision, batch.at))
         if (batch.changes.isNotEmpty()) listener.onBatch(revision)
-        listener.onConfirmed()
-        context.scheduler.after(if (batch.changes.isEmpty()) 0 else timing.batchMs) { watch() }
-    }
-
-    /** Leases may have expired while no source had a recent state, whatever the first one that has it knows. */
-    private fun confirm(received: ChangeBatch) {
-        val outdated = relaySelector?.isTooOld(ageMs) == true
-        if (outdated && sourceLostStore && !received.storeWasUnavailable) availability.onRestored()
-        sourceLostStore = received.storeWasUnavailable
-        val confirmedAtMs = context.clock.nowMs() - received.ageMs
-        upToDateAtMs = maxOf(confirmedAtMs, upToDateAtMs ?: confirmedAtMs)
+        onConfirmed()
+        context.scheduler.after(if (batch.changes.isEmpty()) 0 else timing.batchMs) { watch(id) }
     }
 
     private fun onWatchError(
         from: SelectedSource,
         error: StoreError,
     ) {
+        val id = lastWatchId
         val peer = from.peer
         if (peer != null) {
-            onPeerFailed(peer, error)
+            relaySelector?.onFailed(peer, error)
+            val pauseMs = if (relaySelector?.isTooOld(ageMs) == true) PEER_RETRY_MS else 0
+            context.scheduler.after(pauseMs) { watch(id) }
         } else if (error is StoreError.HistoryGone || error is StoreError.TooLong) {
             context.events.log("store.history_gone", "position" to position, "cause" to error)
             start()
@@ -188,20 +185,7 @@
             availability.onError(error)
             watch()
         } else {
-            availability.onError(error) { watch() }
-        }
-    }
-
-    /** While the state is too old, others are asked until one has a recent state; the pause keeps that cheap. */
-    private fun onPeerFailed(
-        peer: String,
-        cause: Any,
-    ) {
-        relaySelector?.onFailed(peer, cause)
-        if (relaySelector?.isTooOld(ageMs) == true) {
-            context.scheduler.after(PEER_RETRY_MS) { watch() }
-        } else {
-            watch()
+            availability.onError(error) { watch(id) }
         }
     }
 
@@ -212,7 +196,10 @@
          */
         const val RECOVERY_WATCH_WAIT_MS = 300L
 
-        /** Pause after a process that could not be asked; processes that are gone refuse connections at once. */
+        /**
+         * Pause after a process that could not be asked while the state is too old, until the next one is asked:
+         * processes that are gone refuse connections at once.
+         */
         const val PEER_RETRY_MS = 100L
     }
 }
--- a/entry/src/test/kotlin/auburnhall/entry/StoreCallsTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/StoreCallsTest.kt
@@ -129,7 +129,7 @@
                 fleet.advance(SETTLE_MS)
                 assertApplied()
             }
-        assertTrue(cost < 220, "$cost")
+        assertTrue(cost < 160, "$cost")
     }
 
     /** Guards against a start of all processes in which each follows the store until it knows the others. */
@@ -140,7 +140,7 @@
                 startAll()
                 assertApplied()
             }
-        assertTrue(cost < 1_200, "$cost")
+        assertTrue(cost < 800, "$cost")
     }
 
     private companion object {
--- a/test/src/main/kotlin/auburnhall/test/FakeKeyValueStore.kt
+++ b/test/src/main/kotlin/auburnhall/test/FakeKeyValueStore.kt
@@ -56,6 +56,10 @@
             if (!value) watches.toList().forEach { it.finishIfOverdue() }
         }
 
+    /** Reads that may be old are answered from these by turns; from the present state if there are none. */
+    var oldCopies: List<Copy> = emptyList()
+    private var oldReads = 0
+
     /** Number of calls by operation. */
     val calls = HashMap<String, Int>()
 
@@ -87,6 +91,7 @@
     /** Begins a new era with the state of [copy]; its leases begin to run anew. */
     fun restore(copy: Copy) {
         era++
+        oldCopies = emptyList()
         revision = copy.revision
         nextLease = copy.nextLease
         items.clear()
@@ -132,10 +137,13 @@
     override fun range(
         prefix: String,
         afterKey: String?,
+        mayBeOld: Boolean,
         done: StoreCallback<StorePage>,
     ) = answer("range", done) {
-        val found = items.tailMap(afterKey ?: "", afterKey == null).filterKeys { it.startsWith(prefix) }.values
-        Ok(StorePage(found.take(PAGE_ITEMS), found.size > PAGE_ITEMS, revision))
+        val old = oldCopies.takeIf { mayBeOld && it.isNotEmpty() }?.let { it[oldReads++ % it.size] }
+        val from = TreeMap(old?.items ?: items)
+        val found = from.tailMap(afterKey ?: "", afterKey == null).filterKeys { it.startsWith(prefix) }.values
+        Ok(StorePage(found.take(PAGE_ITEMS), found.size > PAGE_ITEMS, old?.revision ?: revision))
     }
 
     override fun watch(
--- a/test/src/main/kotlin/auburnhall/test/FakeStoreClient.kt
+++ b/test/src/main/kotlin/auburnhall/test/FakeStoreClient.kt
@@ -33,8 +33,9 @@
     override fun range(
         prefix: String,
         afterKey: String?,
+        mayBeOld: Boolean,
         done: StoreCallback<StorePage>,
-    ) = call(done) { store.range(prefix, afterKey, it) }
+    ) = call(done) { store.range(prefix, afterKey, mayBeOld, it) }
 
     override fun watch(
         prefix: String,
