--- a/entry/src/main/kotlin/auburnhall/entry/StoreLoader.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreLoader.kt
@@ -21,6 +21,30 @@
     val ageMs: Long,
 )
 
+/** The items of pages that can each show another moment. */
+private class ReadPages {
+    val items = LinkedHashMap<String, StoreItem>()
+
+    /** The revision after which changes may be missing. */
+    var oldest = Long.MAX_VALUE
+        private set
+
+    fun add(page: StorePage) {
+        oldest = minOf(oldest, page.at)
+        page.items.associateByTo(items) { it.key }
+    }
+
+    /** A page may be more recent than [change], which was then followed by what the page shows. */
+    fun apply(change: StoreChange) {
+        val known = items[change.key]
+        when {
+            known != null && known.revision >= change.revision -> Unit
+            change is StoreChange.Put -> items[change.key] = change.item
+            else -> items.remove(change.key)
+        }
+    }
+}
+
 /** Passes the items to [onLoaded]. Control thread only. */
 internal class StoreLoader(
     private val context: ControlContext,
@@ -31,8 +55,8 @@
     private var current: Load? = null
 
     /**
-     * Starts a load, and again after each failure. [relayOf] selects the process that is asked for what the pages, which
-     * are passed to it, may lack; the store is asked if it is null or does not have that.
+     * Starts a load, and again after each failure. [relayOf] gets the items of the pages and selects the process that
+     * is asked for what they may lack; the store is asked if it is null or does not have that.
      */
     fun start(relayOf: (Map<String, StoreItem>) -> ChangeSource? = { null }) = start(relayOf, mayBeOld = true)
 
@@ -47,8 +71,7 @@
         private val relayOf: (Map<String, StoreItem>) -> ChangeSource?,
         private val mayBeOld: Boolean,
     ) {
-        private val read = LinkedHashMap<String, StoreItem>()
-        private var oldest = Long.MAX_VALUE
+        private val read = ReadPages()
         private var storeAsked = false
 
         fun readAfter(key: String?) {
@@ -72,18 +95,17 @@
 
         private fun onPage(page: StorePage) {
             availability.onAnswer()
-            oldest = minOf(oldest, page.at)
-            page.items.associateByTo(read) { it.key }
+            read.add(page)
             when {
                 page.hasMore && page.items.isNotEmpty() -> readAfter(page.items.last().key)
                 mayBeOld -> askRelay()
-                else -> finish(StorePosition(context.store.era, oldest), ageMs = 0)
+                else -> finish(read.oldest, ageMs = 0)
             }
         }
 
         private fun askRelay() {
-            val relay = relayOf(read) ?: return askStore()
-            relay.changes(RelayPoll(StorePosition(context.store.era, oldest), waitMs = 0, outdated = true)) { result ->
+            val relay = relayOf(read.items) ?: return askStore()
+            relay.changes(RelayPoll(position(read.oldest), waitMs = 0, outdated = true)) { result ->
                 if (current === this && !storeAsked) {
                     result.onSuccess(::onRelayed).onFailure { askStore() }
                 }
@@ -98,15 +120,14 @@
 
         private fun askStore() {
             storeAsked = true
-            val poll = RelayPoll(StorePosition(context.store.era, oldest), CONFIRMING_WAIT_MS)
-            store.changes(poll) { result ->
+            store.changes(RelayPoll(position(read.oldest), CONFIRMING_WAIT_MS)) { result ->
                 if (current === this) result.onSuccess(::complete).onFailure(::onConfirmationFailed)
             }
         }
 
         private fun onConfirmationFailed(error: StoreError) {
             if (error is StoreError.HistoryGone || error is StoreError.TooLong) {
-                context.events.log("store.read_too_old", "revision" to oldest, "cause" to error)
+                context.events.log("store.read_too_old", "revision" to read.oldest, "cause" to error)
                 start(relayOf, mayBeOld = false)
             } else {
                 availability.onError(error, ::retry)
@@ -114,29 +135,21 @@
         }
 
         private fun complete(received: ChangeBatch) {
-            received.changes.changes.forEach(::apply)
-            finish(StorePosition(context.store.era, maxOf(oldest, received.changes.at)), received.ageMs)
-        }
-
-        /** A page may be more recent than a change, which was then followed by what the page shows. */
-        private fun apply(change: StoreChange) {
-            val known = read[change.key]
-            when {
-                known != null && known.revision >= change.revision -> Unit
-                change is StoreChange.Put -> read[change.key] = change.item
-                else -> read.remove(change.key)
-            }
+            received.changes.changes.forEach(read::apply)
+            finish(maxOf(read.oldest, received.changes.at), received.ageMs)
         }
 
         private fun finish(
-            at: StorePosition,
+            revision: Long,
             ageMs: Long,
         ) {
             current = null
-            onLoaded(LoadedItems(read, at, ageMs))
+            onLoaded(LoadedItems(read.items, position(revision), ageMs))
         }
     }
 
+    private fun position(revision: Long) = StorePosition(context.store.era, revision)
+
     private companion object {
         /** A watch with this wait is answered at once, with the changes that are missing or none. */
         const val CONFIRMING_WAIT_MS = 1L
