--- a/entry/src/test/kotlin/auburnhall/entry/EvacuationExchangeTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/EvacuationExchangeTest.kt
@@ -37,7 +37,7 @@
     fun `a third of the processes, turned away by the store, learn the begin and the end from the others`() {
         val fleet = settledFleet(relayFrom = 1_000)
         val away = fleet.live.take(PROCESSES / 3)
-        away.forEach { it.cut = true }
+        away.forEach { it.cutFromStore = true }
         fleet.evacuate("a")
         fleet.advance(BOUND_MS)
         fleet.assertEvacuated("a")
@@ -45,7 +45,7 @@
         fleet.takeBack("a")
         fleet.advance(BOUND_MS)
         fleet.assertEvacuated()
-        away.forEach { it.cut = false }
+        away.forEach { it.cutFromStore = false }
         fleet.advance(SETTLE_MS)
         fleet.assertEvacuated()
     }
@@ -60,7 +60,7 @@
         fleet.evacuate("b")
         fleet.advance(BOUND_MS)
         fleet.assertEvacuated("a", "b")
-        fleet.live.forEach { it.cut = true }
+        fleet.live.forEach { it.cutFromStore = true }
         fleet.advance(OUTAGE_MS)
         fleet.assertEvacuated("a", "b")
     }
