Play cold workers in the stand-in and the soak; describe them

The stand-in's workers say in entry, responses and health responses that they are cold, and the soak's plain workers are cold after each start and when a fault makes them so; the soak counts what each gets in a second after its start. A test with three real processes makes the only worker of a service cold.

--- a/process-test/src/test/kotlin/auburnhall/process/FaultyWorker.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/FaultyWorker.kt
@@ -44,9 +44,14 @@
     }
 
     /** Says in each answer that it leaves, and reports it. */
+    fun leave() = report { leaving = true }
+
+    /** Becomes cold again, and reports it. */
+    fun makeCold() = report { cold.begin() }
+
     @Synchronized
-    fun leave() {
-        life?.leaving = true
+    private fun report(change: Life.() -> Unit) {
+        life?.change()
         life?.enter()
     }
 
@@ -72,10 +77,13 @@
 
         @Volatile
         var dead = false
+
+        val cold = ColdTime()
         private val sockets = ConcurrentHashMap.newKeySet<Socket>()
         private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
 
         init {
+            record.lives.add(id to System.nanoTime())
             threads.execute {
                 while (!listener.isClosed) {
                     val socket = runCatching { listener.accept() }.getOrNull() ?: break
@@ -92,7 +100,8 @@
             val state = if (leaving) "draining" else "in_service"
             val entry =
                 """{"service":"$service","address":"127.0.0.1:${listener.localPort}","zone":"z1","slots":100,
-                    "state":"$state","born":${record.seed + lives}}"""
+                    "state":"$state","born":${record.seed + lives},
+                    "cold_remaining_ms":${cold.remainingMs}}"""
             platform.scheduler.run { platform.store.put(key, entry) }
         }
 
@@ -135,7 +144,7 @@
         }
 
         private fun run(request: SoakRequest): Boolean {
-            checkHeaders(request)
+            record.checkHeaders(request)
             val run = record.begin(request.id, life.id, strayed)
             val attempt = attempts.computeIfAbsent(request.id) { AtomicInteger() }.incrementAndGet()
             val random = Random(record.seed * SEED_FACTOR + request.id.hashCode() + attempt + name.hashCode())
@@ -156,12 +165,6 @@
             return true
         }
 
-        private fun checkHeaders(request: SoakRequest) {
-            val tenant = ScriptedOrders.header(request.head, "tenant")
-            val key = ScriptedOrders.header(request.head, "authorization")
-            if (tenant != "shop" || key != null) record.unasked.add(request.id to "tenant $tenant, key $key")
-        }
-
         fun responseHead(
             status: String,
             id: String,
@@ -170,7 +173,7 @@
             val idLine = if (id.isEmpty()) "" else "Attempt-Id: $id\r\n"
             val leaving = if (life.leaving) "Server-Leaving: 1\r\n" else ""
             return "HTTP/1.1 $status\r\nContent-Type: text/plain\r\n${idLine}Response-Stamp: ${life.id}\r\n" +
-                "$leaving$framing\r\n\r\n"
+                "$leaving${life.cold.header}$framing\r\n\r\n"
         }
 
         fun write(text: String) = output.write(text.toByteArray(Charsets.ISO_8859_1))
@@ -181,9 +184,7 @@
             random: Random,
         ) {
             strayed = true
-            val withId = if (random.nextBoolean()) text else text.replace(Regex("Attempt-Id: .*\r\n"), "")
-            val length = if (random.nextBoolean()) withId.length else random.nextInt(1, withId.length)
-            val copy = withId.take(length).toByteArray(Charsets.ISO_8859_1)
+            val copy = strayCopy(text, random)
             if (random.nextBoolean()) lateCopy = copy else output.write(copy)
         }
 
--- a/process-test/src/test/kotlin/auburnhall/process/SoakChecker.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakChecker.kt
@@ -8,7 +8,7 @@
 import java.util.concurrent.TimeUnit
 
 /** What a finding breaks. */
-enum class SoakRule { MIXED, REFUSED_BUT_RUN, TWICE, ORDER, LOST, LOST_UNSENT, LOST_AFTER_STRAY, CONFIG, UNASKED }
+enum class SoakRule { MIXED, REFUSED_BUT_RUN, TWICE, ORDER, LOST, LOST_UNSENT, LOST_AFTER_STRAY, CONFIG, UNASKED, COLD }
 
 /** One breach of [rule] by request [id]. */
 data class Finding(
@@ -31,10 +31,23 @@
     /** All findings. */
     fun findings(): List<Finding> {
         val unasked = record.unasked.map { (id, detail) -> Finding(record.seed, SoakRule.UNASKED, id, null, detail) }
-        return unasked +
+        return unasked + overloaded() +
             record.calls.flatMap { call -> SoakRule.entries.filter { breaks(it, call) }.map { found(it, call) } }
     }
 
+    /** Workers that got more requests in a second of the cold time after their start than they bear. */
+    private fun overloaded(): List<Finding> =
+        record.lives.mapNotNull { (worker, startNanos) ->
+            val begun =
+                record.runs.filter { it.worker == worker }.map { it.beginNanos - startNanos }.filter {
+                    it <
+                        COLD_NANOS
+                }
+            val most = begun.maxOfOrNull { first -> begun.count { it in first until first + SECOND_NANOS } } ?: 0
+            val detail = "$most requests in a second, bound ${ColdRate.BOUND}"
+            if (most < ColdRate.BOUND) null else Finding(record.seed, SoakRule.COLD, worker, null, detail)
+        }
+
     /** Calls that failed with 502 or 504 though each worker that ran them gave a whole answer; no rule forbids it. */
     fun replaced(): List<String> =
         record.calls
@@ -68,7 +81,7 @@
             SoakRule.LOST_AFTER_STRAY -> isLost(call, afterStray = true)
             SoakRule.LOST_UNSENT -> isLostUnsent(call)
             SoakRule.CONFIG -> isLate(call)
-            SoakRule.UNASKED -> false
+            SoakRule.UNASKED, SoakRule.COLD -> false
         }
 
     private fun isDenied(call: SoakCall) = call.status in PROMISES && runsOf(call).any { it.executed }
@@ -151,6 +164,8 @@
         const val DEADLINE_MS = 7_800L
         const val UNREAD_MS = 1_000L
         const val LATE_MS = 500L
+        val COLD_NANOS = TimeUnit.MILLISECONDS.toNanos(ColdRate.DURATION_MS)
+        val SECOND_NANOS = TimeUnit.SECONDS.toNanos(1)
         val APPLY_NANOS = TimeUnit.SECONDS.toNanos(3)
         val AFTER_FREEZE_NANOS = TimeUnit.SECONDS.toNanos(3)
     }
--- a/process-test/src/test/kotlin/auburnhall/process/SoakFaults.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakFaults.kt
@@ -21,6 +21,7 @@
     ENTRY_REMOVED,
     WORKER_KILLED,
     WORKER_LEAVES,
+    WORKER_COLD,
     MEMBER_KILLED,
     MEMBER_CRASHED,
 }
@@ -43,6 +44,7 @@
             FaultKind.FREEZE -> onProcess(kind, ::freeze)
             FaultKind.STORE -> troubleStore()
             FaultKind.ENTRY_REMOVED, FaultKind.WORKER_KILLED, FaultKind.WORKER_LEAVES -> onWorker(kind)
+            FaultKind.WORKER_COLD -> coolWorker()
             FaultKind.MEMBER_KILLED, FaultKind.MEMBER_CRASHED -> onMember(kind)
         }
     }
@@ -146,6 +148,12 @@
         }
     }
 
+    private fun coolWorker() {
+        val index = random.nextInt(day.workers.size)
+        note(FaultKind.WORKER_COLD, null, "worker $index")
+        day.workers[index].makeCold()
+    }
+
     private fun onMember(kind: FaultKind) {
         val member =
             day.platform.workers
@@ -208,12 +216,16 @@
             "services":[{"name":"engine","max_connections":100,"engine":{"slots":8,"models":[
              {"name":"assistant","size":2,"share":1.0,"pace":1.0,"load_s":0.1,"warm_s":0.1}],"report_lag_ms":50,
              "loads_per_s":50,"loads_at_once":50,"form_ms":0,"step_ms":1,"stride":1,"read_per_s":100000}},
-             {"name":"orders","max_connections":100},{"name":"feeds","max_connections":100}],
+             ${plainService("orders")},${plainService("feeds")}],
             "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,
              "idle_timeout_ms":15000},
             "tenants":[{"name":"shop","api_keys":[$keys],"priority":1}]}"""
     }
 
+    private fun plainService(name: String) =
+        """{"name":"$name","max_connections":100,"cold_start_s":${ColdRate.DURATION_MS / MS_PER_SECOND},
+            "cold_per_s":${ColdRate.PER_SECOND}}"""
+
     private fun route(
         name: String,
         kind: String,
@@ -226,5 +238,6 @@
 
     private companion object {
         const val STREAM_TIMEOUT_MS = 10_000L
+        const val MS_PER_SECOND = 1_000.0
     }
 }
--- a/process-test/src/test/kotlin/auburnhall/process/SoakRecord.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakRecord.kt
@@ -107,6 +107,13 @@
     val atNanos: Long = System.nanoTime()
 }
 
+/** The cold times of the plain workers, and what the settings let a cold worker get in a second. */
+object ColdRate {
+    const val DURATION_MS = 1_500L
+    const val PER_SECOND = 6.0
+    const val BOUND = PER_SECOND * 1.5 + 5
+}
+
 /** Everything that one day saw. */
 class SoakRecord(
     val seed: Int,
@@ -121,9 +128,19 @@
     /** Times at which the thread of the stand-in workers stood still. */
     val standstills = ConcurrentLinkedQueue<Pair<Long, Long>>()
 
+    /** Lives of plain workers, by id, with the time of their start. */
+    val lives = ConcurrentLinkedQueue<Pair<String, Long>>()
+
     /** What a worker got that it must not get. */
     val unasked = ConcurrentLinkedQueue<Pair<String, String>>()
 
+    /** Records headers of [request] that a worker must not get, or must get otherwise. */
+    fun checkHeaders(request: SoakRequest) {
+        val tenant = ScriptedOrders.header(request.head, "tenant")
+        val key = ScriptedOrders.header(request.head, "authorization")
+        if (tenant != "shop" || key != null) unasked.add(request.id to "tenant $tenant, key $key")
+    }
+
     /** Adds a run of [id] at [worker]. */
     fun begin(
         id: String,
--- a/process-test/src/test/kotlin/auburnhall/process/WorkerLimitTest.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/WorkerLimitTest.kt
@@ -87,7 +87,36 @@
         assertTrue(callFor(WINDOW_MS).all { it.startsWith("HTTP/1.1 200") }, "refused after the limit has ended")
     }
 
+    /** Guards against a burst at a worker that becomes cold, and against a cold worker that gets nothing. */
+    @Test
+    fun `a cold worker gets no more requests in a second than it bears from all processes together`() {
+        val configuration =
+            StandinPlatform.CONFIGURATION.replace(
+                """{"name":"orders","max_connections":100}""",
+                """{"name":"orders","max_connections":100,"cold_start_s":3.0,"cold_per_s":4}""",
+            )
+        platform.scheduler.run { platform.store.put("op/config", configuration) }
+        repeat(PROCESSES) { startProcess(it + 1) }
+        callFor(CONTACT_MS)
+        val coldAtMs = Clock.SYSTEM.nowMs()
+        platform.makeCold("i-orders", COLD_MS)
+        callFor(COLD_MS)
+        val times = platform.orderTimesMs.filter { it in coldAtMs + LEARN_MS..coldAtMs + COLD_MS }
+        val most = times.maxOf { begin -> times.count { it in begin until begin + SECOND_MS } }
+        assertTrue(most < COLD_BOUND, "$most requests in a second, bound $COLD_BOUND")
+        assertTrue(times.size >= COLD_MS / SECOND_MS, "${times.size} requests while it was cold")
+        processes.forEach { it.awaitEvent("worker.cold") }
+    }
+
     private companion object {
+        const val COLD_MS = 6_000L
+
+        /** Time from the worker's statement until all processes have read its entry. */
+        const val LEARN_MS = 1_500L
+        const val SECOND_MS = 1_000L
+
+        /** One and a half times the rate, and five requests. */
+        const val COLD_BOUND = 11
         const val PROCESSES = 3
         const val CALLERS = 4
         const val PAUSE_MS = 60L
--- a/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
@@ -86,6 +86,12 @@
     /** Starts the worker with [id] again, under the same id and without its membership. */
     fun restart(id: String) = scheduler.run { workers.first { it.identity.id == id }.crash() }
 
+    /** Makes the worker with [id] cold for [durationMs]; its entry and its responses say so. */
+    fun makeCold(
+        id: String,
+        durationMs: Long,
+    ) = scheduler.run { workers.first { it.identity.id == id }.coldUntilMs = Clock.SYSTEM.nowMs() + durationMs }
+
     private fun onControlRequest(
         request: InboundRequest,
         response: ResponseWriter,
--- a/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
@@ -10,6 +10,7 @@
 import auburnhall.http.ResponseWriter
 import auburnhall.http.newHeaders
 import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaders
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonObjectBuilder
@@ -91,6 +92,14 @@
         publish()
     }
 
+    /** Until then it is cold, as its entry and its responses say; null if it never was. */
+    var coldUntilMs: Long? = null
+        set(value) {
+            field = value
+            publish()
+        }
+    private val coldRemainingMs: Long? get() = coldUntilMs?.let { (it - Clock.SYSTEM.nowMs()).coerceAtLeast(0) }
+
     /** HOST:PORT; the entry is written to the store when it is set. */
     var address = ""
         set(value) {
@@ -107,6 +116,12 @@
         val expected = request.headers.get("Expect-Instance")
         when {
             expected != null && expected != identity.id -> response.send(MISDIRECTED_STATUS, newHeaders(), ByteArray(0))
+            request.path == "/health" ->
+                response.send(
+                    OK_STATUS,
+                    stamped(request, identity.id).setCold(coldRemainingMs),
+                    ByteArray(0),
+                )
             request.path == "/auburnhall/report" -> response.sendJson(OK_STATUS) { putEntry() }
             request.path == "/auburnhall/order" ->
                 order(
@@ -117,7 +132,7 @@
             else -> {
                 executions++
                 platform.orderTimesMs.add(Clock.SYSTEM.nowMs())
-                val headers = stamped(request, identity.id)
+                val headers = stamped(request, identity.id).setCold(coldRemainingMs)
                 platform.ordersPerSecond?.let { headers.set("Server-Limit", it.toString()) }
                 response.send(OK_STATUS, headers, "{\"number\":$executions}".toByteArray())
             }
@@ -165,7 +180,10 @@
             return
         }
         executions++
-        response.start(OK_STATUS, stamped(request, identity.id).set("Content-Type", "text/event-stream"))
+        response.start(
+            OK_STATUS,
+            stamped(request, identity.id).setCold(coldRemainingMs).set("Content-Type", "text/event-stream"),
+        )
         openStreams.add(response)
         if (platform.crashesAt(request.headers.get("Prompt-Prefix").orEmpty())) {
             platform.scheduler.after(EVENT_INTERVAL_MS, ::crash)
@@ -217,6 +235,7 @@
         put("state", READY)
         put("born", startNumber)
         put("pace", 1.0)
+        coldRemainingMs?.let { put("cold_remaining_ms", it) }
         identity.domain?.let { put("domain", it) }
         putJsonArray("staged") { staged.forEach { add(it) } }
         put("models", buildJsonArray { })
@@ -280,3 +299,9 @@
     "Attempt-Id",
     request.headers.get("Attempt-Id") ?: "",
 )
+
+/** A worker that was never cold says nothing of it. */
+private fun HttpHeaders.setCold(remainingMs: Long?): HttpHeaders =
+    if (remainingMs == null) this else set("Cold-Remaining", (remainingMs / MS_PER_SECOND).toString())
+
+private const val MS_PER_SECOND = 1_000.0
