Form and load nothing in evacuated data centres; use the reserve elsewhere

Cause: while a data centre is evacuated, no request is sent to its workers, so replicas that are formed and spares that load there serve no one, and the other data centres kept their reserve idle.

Ruled out: closing the replicas there, since they serve at once when the evacuation is taken back; stopping formations that are under way, since their members have begun to load.

Change: workers of evacuated data centres count neither as free nor in the sizes of domains, their replicas not as present, and the plan of the other domains uses all workers, so that no replica is formed across the boundary.

Replica tests pass.

--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
@@ -91,8 +91,9 @@
         val candidates = availability.free(workers)
         orders += survey.probes(candidates)
         if (availability.isSettled(workers)) {
-            orders +=
-                placeReplicas(workers, candidates.filter(survey::isKnown), engine)
+            val active = workers.filter { it.dataCentre !in evacuated }
+            val free = candidates.filter { survey.isKnown(it) && it.dataCentre !in evacuated }
+            orders += placeReplicas(active, free, engine, useReserve = active.size < workers.size)
         }
         return orders
     }
@@ -118,14 +119,15 @@
         workers: List<Worker>,
         freeWorkers: List<Worker>,
         engine: EngineProfile,
+        useReserve: Boolean,
     ): List<Order> {
         val free = FreeWorkers(freeWorkers)
         val sizes = workers.filter { monitor.isUsable(it) }.groupingBy { it.fabricDomain.orEmpty() }.eachCount()
         val largest = sizes.values.maxOrNull() ?: 0
         val fullPlan = planCache.plan(sizes.mapValues { largest }, engine.models)
         val present = replicaCounts(workers)
-        val plan = planCache.plan(sizes, engine.models, present)
-        val plans = DomainPlans(plan, fullPlan, ReplicaPlanner.capacity(sizes))
+        val plan = planCache.plan(sizes, engine.models, present, useReserve)
+        val plans = DomainPlans(plan, fullPlan, ReplicaPlanner.capacity(sizes, useReserve))
         val counts = PlacementCounts(engine.models, plans, present)
         val formationTime = FormationTime(engine, loads.runningCount)
         val placer = ReplicaPlacer(engine.models, counts, free, placementContext, formationTime)
@@ -164,9 +166,13 @@
         return chosen.map { Order.Stage(it.members.first(), it.model.name) }
     }
 
-    /** Counts the replicas that serve or are being formed, by domain and model. */
+    /** Counts the replicas that serve or are being formed with heads among [workers], by domain and model. */
     private fun replicaCounts(workers: List<Worker>): Map<Pair<String, String>, Int> {
-        val forming = formations.all.filter { !it.spare }.map { it.head.fabricDomain.orEmpty() to it.model }
+        val forming =
+            formations.all.filter { !it.spare && it.head.dataCentre !in evacuated }.map {
+                it.head.fabricDomain.orEmpty() to
+                    it.model
+            }
         val open =
             workers
                 .filter(teardowns::isServingHead)
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaPlanner.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaPlanner.kt
@@ -35,7 +35,7 @@
 
     /**
      * Returns the plan by domain for domains with [sizes] workers. The largest domain is assumed to be complete;
-     * smaller ones have lost workers and use up their reserve. Models with large replicas are placed first, since small
+     * smaller ones have lost workers and use up their reserve; with [useReserve] all do. Models with large replicas are placed first, since small
      * replicas fit into the rest. Of all possible numbers of large replicas, the one is chosen that gives the model
      * with the fewest replicas per demand the most. The replicas that are [present], by domain and model, stay.
      */
@@ -43,15 +43,27 @@
         sizes: Map<String, Int>,
         models: List<Model>,
         present: Map<Pair<String, String>, Int> = emptyMap(),
+        useReserve: Boolean = false,
     ): Map<String, DomainPlan> {
         if (models.isEmpty()) return sizes.mapValues { emptyMap() }
-        val freeWorkers = capacity(sizes).mapValues { (domain, workers) -> workers - used(domain, models, present) }
+        val freeWorkers =
+            capacity(sizes, useReserve).mapValues { (domain, workers) ->
+                workers -
+                    used(domain, models, present)
+            }
         return best(models.sortedByDescending { it.size }, PartialPlan(freeWorkers, present), models)
             .byDomain(sizes.keys)
     }
 
-    /** Number of workers that each of the domains with [sizes] workers may put into replicas. */
-    fun capacity(sizes: Map<String, Int>): Map<String, Int> {
+    /**
+     * Number of workers that each of the domains with [sizes] workers may put into replicas: with [useReserve] all of
+     * them.
+     */
+    fun capacity(
+        sizes: Map<String, Int>,
+        useReserve: Boolean = false,
+    ): Map<String, Int> {
+        if (useReserve) return sizes
         val fullSize = sizes.values.maxOrNull() ?: 0
         val maxMembers = fullSize - reserve(fullSize)
         return sizes.mapValues { (_, workers) -> minOf(workers, maxMembers) }
@@ -127,6 +139,7 @@
     val sizes: Map<String, Int>,
     val models: List<Model>,
     val present: Map<Pair<String, String>, Int>,
+    val useReserve: Boolean,
 )
 
 /**
@@ -145,8 +158,11 @@
         sizes: Map<String, Int>,
         models: List<Model>,
         present: Map<Pair<String, String>, Int> = emptyMap(),
+        useReserve: Boolean = false,
     ): Map<String, DomainPlan> =
-        plans.getOrPut(PlanInput(sizes, models, present)) { ReplicaPlanner.plan(sizes, models, present) }
+        plans.getOrPut(PlanInput(sizes, models, present, useReserve)) {
+            ReplicaPlanner.plan(sizes, models, present, useReserve)
+        }
 
     private companion object {
         /** Enough for the plans with current and with full domain sizes, before and after a loss. */
--- a/replica/src/test/kotlin/auburnhall/replica/LossHistoryTest.kt
+++ b/replica/src/test/kotlin/auburnhall/replica/LossHistoryTest.kt
@@ -20,6 +20,28 @@
         }
     }
 
+    /** Guards against formations and loads where no request is sent, and against idle reserves elsewhere. */
+    @Test
+    fun `an evacuated data centre keeps its replicas, and the others use their reserve`() {
+        val history = LossHistory(1).apply { start() }
+        val simulation = history.simulation
+        val before = history.open().getValue(SMALL)
+        val (there, _) = simulation.openHeads().partition { simulation.dataCentreOf(it.domain) == "z0" }
+        simulation.controller.evacuated = setOf("z0")
+        simulation.movedDataCentres.clear()
+        simulation.add("d0")
+        simulation.kill(simulation.worker(there.last().members.last()))
+        simulation.controller.onSuspect(checkNotNull(there.last().membership).key)
+        simulation.run(8_000)
+        assertEquals(setOf("z1", "z2"), simulation.movedDataCentres)
+        assertEquals(there - there.last(), simulation.openHeads().filter { simulation.dataCentreOf(it.domain) == "z0" })
+        assertTrue(history.open().getValue(SMALL) > before, "${history.open()}")
+        simulation.controller.evacuated = emptySet()
+        simulation.run(20_000)
+        assertEquals(9, history.open().getValue(LARGE))
+        assertEquals(emptyList<String>(), simulation.violations)
+    }
+
     private companion object {
         const val SEEDS = 5
         const val ROUNDS = 14
--- a/replica/src/test/kotlin/auburnhall/replica/ReplicaSimulation.kt
+++ b/replica/src/test/kotlin/auburnhall/replica/ReplicaSimulation.kt
@@ -65,6 +65,9 @@
     /** Start times of the loads of members, without those that stage. */
     val coldLoadsAtMs = ArrayList<Long>()
     val stagingLoadsAtMs = ArrayList<Long>()
+
+    /** Data centres of workers that were ordered to join a replica or to load a model. */
+    val movedDataCentres = HashSet<String>()
     val reportedTeardowns = ArrayList<ReplicaEpoch>()
     val reportedHealthy = ArrayList<ReplicaEpoch>()
     val reportedSlow = ArrayList<ReplicaEpoch>()
@@ -167,6 +170,7 @@
         order: Order,
     ) {
         val worker = byId.getValue(order.worker.id)
+        if (order is Order.Join || order is Order.Stage) movedDataCentres.add(order.worker.dataCentre)
         val lost = random.nextDouble() < orderLossRate && order !is Order.Probe
         val reachable = worker.alive && worker.reachable && worker.startedAtUnixMs == order.worker.startedAtUnixMs
         if (!reachable || lost) {
