Take changes from a process of the own data centre

The relay tree ignored data centres: it ordered all processes by name, so a change crossed data centres for two thirds of them, and traffic between data centres has a price for the operators.

Each data centre now has a tree of its own. Its root is the controller or, elsewhere, the first process by name, which takes changes from the controller. Its children ask that process, then the second and third, then the controller; the second asks the first, then the controller. So when the first is lost, the next one takes its place, and no message is needed for it. Three data centres of 41 processes have three levels instead of two; the sum of the waits over the levels is the same.

Ruled out: a wider tree in the other data centres (two levels, but 40 responses for each change on a machine of a quarter of a core), and electing the first process through the store (calls, and a lease that has to expire first).

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -46,6 +46,7 @@
     LeadershipListener,
     ProcessDirectory {
     private val mirror: StoreMirror = StoreMirror(context, this, ControlTiming())
+    private val selector = RelaySelector(context, this, relayMinProcesses, connect)
     private val view =
         StoreView(context.settings.processName, context.events, listener, context.clock) { mirror.storeWasUnavailable }
 
@@ -74,7 +75,7 @@
     override val processes: Map<String, PeerProcess> get() = view.peers
 
     init {
-        mirror.relaySelector = RelaySelector(context, this, relayMinProcesses, connect)
+        mirror.relaySelector = selector
         mirror.onConfirmed = relay::onConfirmed
         context.store.onNewEra = {
             context.events.log("store.restored", "era" to context.store.era, "mirrored" to mirror.position)
@@ -175,7 +176,7 @@
 
         override val waitMs: Long get() = if (relay.hasClients) RELAY_WATCH_WAIT_MS else MAX_WATCH_WAIT_MS
 
-        override val relayWaitMs: Long get() = RELAY_WAIT_SUM_MS / RelayTree.levels(view.peers.size + 1)
+        override val relayWaitMs: Long get() = RELAY_WAIT_SUM_MS / selector.levels
     }
 
     private companion object {
--- a/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
@@ -42,7 +42,7 @@
 
         override val batchMs = 0L
         override val waitMs: Long get() = if (server.hasClients) 200L else 3_000L
-        override val relayWaitMs: Long get() = 600L / RelayTree.levels(processes.size + 1)
+        override val relayWaitMs: Long get() = 600L / RelayTree("n00", processes.keys.associateWith { "z" }).levels
 
         /** Whether the store does not answer this process. */
         var cutFromStore by ownStore::cut
@@ -107,7 +107,8 @@
     @Test
     fun `every process but the root has one parent, at most FAN_OUT children, and a path to the root`() {
         val names = (0 until 300).map { "n$it" }
-        val parents = names.associateWith { RelayTree.parents(it, "n7", names).firstOrNull() }
+        val tree = RelayTree("n7", names.associateWith { "z" })
+        val parents = names.associateWith { tree.parents(it).firstOrNull() }
         assertNull(parents["n7"])
         assertEquals(1, parents.values.count { it == null })
         val childCounts =
