Plan replicas by the demand while slots are short; close surplus replicas

Cause: the plan kept the shares of the configuration while one model had all its slots in use and the other a third.

Without demand, or with slots to spare, nothing is closed.

No violation with 5 % of the orders lost, dark domains and two take-overs.

--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -150,6 +150,8 @@
 
     override fun onTeardown(key: ReplicaEpoch) = reportStatus(key, ReplicaStatus.TEARDOWN)
 
+    override fun onClosing(key: ReplicaEpoch) = reportStatus(key, ReplicaStatus.CLOSING)
+
     private fun reportStatus(
         key: ReplicaEpoch,
         replicaStatus: ReplicaStatus,
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
@@ -37,6 +37,9 @@
 
     /** It has a slow member and there is no spare worker to replace it. */
     SLOW,
+
+    /** It ends the requests that it has and must get no more. */
+    CLOSING,
 }
 
 /** Which processes a load report covers. */
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
@@ -101,6 +101,7 @@
                 routing.health.markLost(key)
                 routing.onLost()
             }
+            ReplicaStatus.CLOSING -> routing.health.closing.mark(key)
             ReplicaStatus.SLOW -> routing.health.slow.mark(key)
             ReplicaStatus.SUSPECT -> {
                 routing.health.markSuspect(key)
--- a/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
@@ -243,6 +243,8 @@
 
         override fun onTeardown(key: ReplicaEpoch) = Unit
 
+        override fun onClosing(key: ReplicaEpoch) = Unit
+
         private inner class ProcessScheduler : Scheduler {
             override fun after(
                 delayMs: Long,
--- a/entry/src/test/kotlin/auburnhall/entry/WireCompatibilityTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/WireCompatibilityTest.kt
@@ -32,6 +32,7 @@
                 ReplicaStatus.HEALTHY to STATUS + "2801",
                 ReplicaStatus.TEARDOWN to STATUS + "2802",
                 ReplicaStatus.SLOW to STATUS + "2803",
+                ReplicaStatus.CLOSING to STATUS + "2804",
             )
         assertEquals(ReplicaStatus.entries.toSet(), recorded.keys)
         recorded.forEach { (status, hex) ->
--- a/replica/src/main/kotlin/auburnhall/replica/ControllerContext.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ControllerContext.kt
@@ -14,6 +14,9 @@
     /** [key] has a slow member, and its domain has no spare to replace it; repeated while this holds. */
     fun onSlow(key: ReplicaEpoch)
 
+    /** [key] ends its requests and must get no more; repeated until its head says so. */
+    fun onClosing(key: ReplicaEpoch)
+
     /** [key] is being torn down and must get no more requests; repeated while its head does not answer. */
     fun onTeardown(key: ReplicaEpoch)
 }
--- a/replica/src/main/kotlin/auburnhall/replica/Orders.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/Orders.kt
@@ -33,6 +33,13 @@
         val epoch: Long,
     ) : Order
 
+    /** End the requests that were accepted, take no more and be ready again; sent to a head. */
+    data class Close(
+        override val worker: Worker,
+        val replica: String,
+        val epoch: Long,
+    ) : Order
+
     /** Load the weights of [model] onto the host while other work goes on. */
     data class Stage(
         override val worker: Worker,
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
@@ -7,8 +7,10 @@
 
 import auburnhall.core.EngineProfile
 import auburnhall.core.Fleet
+import auburnhall.core.MemberState
 import auburnhall.core.Model
 import auburnhall.core.ModelDemand
+import auburnhall.core.Replica
 import auburnhall.core.ReplicaName
 import auburnhall.core.ReplicaTracker
 import auburnhall.core.Worker
@@ -29,8 +31,14 @@
     private var spareDomains: Set<String> = emptySet()
     private var modelCount = 0
 
+    private val estimate = DemandEstimate(context.clock)
+    private val closings = ReplicaClosings(context)
+    private val conversions = ConversionPlanner(context.clock)
+
     /** The demand by model, as last counted. */
-    var demand: Map<String, ModelDemand> = emptyMap()
+    var demand: Map<String, ModelDemand>
+        get() = estimate.counted
+        set(value) = estimate.update(value)
 
     /** Data centres that are evacuated: nothing is formed or loaded there, and what is open there stays. */
     var evacuated: Set<String> = emptySet()
@@ -86,15 +94,17 @@
         val orders = ArrayList<Order>()
         orders += monitor.probes(fleet, tracker)
         val formationOrders = formations.update(workers)
-        orders += teardowns.update(fleet, tracker.open, workers)
+        val closing = fleet.replicas(context.service, engine.models).filter { it.state == MemberState.CLOSING }
+        orders += teardowns.update(fleet, tracker.open + closing, workers)
         orders += formationOrders
         val candidates = availability.free(workers)
         orders += survey.probes(candidates)
         if (availability.isSettled(workers)) {
             val active = workers.filter { it.dataCentre !in evacuated }
             val free = candidates.filter { survey.isKnown(it) && it.dataCentre !in evacuated }
-            orders += placeReplicas(active, free, engine, useReserve = active.size < workers.size)
+            orders += placeReplicas(active, free, engine, useReserve = active.size < workers.size, tracker.open)
         }
+        orders += closings.update(workers)
         return orders
     }
 
@@ -111,6 +121,7 @@
                 survey.onLeft(order.worker, key)
                 formations.onLeft(order.worker, key)
             }
+            is Order.Close -> closings.onResult(ReplicaEpoch(order.replica, order.epoch), result)
             is Order.Stage, is Order.Probe -> Unit
         }
     }
@@ -120,20 +131,39 @@
         freeWorkers: List<Worker>,
         engine: EngineProfile,
         useReserve: Boolean,
+        open: List<Replica>,
     ): List<Order> {
         val free = FreeWorkers(freeWorkers)
         val sizes = workers.filter { monitor.isUsable(it) }.groupingBy { it.fabricDomain.orEmpty() }.eachCount()
         val largest = sizes.values.maxOrNull() ?: 0
         val fullPlan = planCache.plan(sizes.mapValues { largest }, engine.models)
         val present = replicaCounts(workers)
-        val plan = planCache.plan(sizes, engine.models, present, useReserve)
-        val plans = DomainPlans(plan, fullPlan, ReplicaPlanner.capacity(sizes, useReserve))
+        val needed = estimate.needed(engine)
+        val demands = ReplicaPlanner.demands(engine.models, needed)
+        val plan = planCache.plan(sizes, engine.models, present, useReserve, demands)
+        val capacity = ReplicaPlanner.capacity(sizes, useReserve)
+        val plans = DomainPlans(plan, fullPlan, capacity, needed, conversions.reserved(closings.domains))
         val counts = PlacementCounts(engine.models, plans, present)
         val formationTime = FormationTime(engine, loads.runningCount)
         val placer = ReplicaPlacer(engine.models, counts, free, placementContext, formationTime)
         val inventory = WeightInventory(engine.models, placementContext)
         val placements = generateSequence { placer.next() }.toList()
         val newReplicas = placements.map { begin(it, engine, inventory, spare = false) }
+        placements.forEach {
+            conversions.onFormed(
+                it.members
+                    .first()
+                    .fabricDomain
+                    .orEmpty(),
+                it.model,
+            )
+        }
+        if (needed != null) {
+            val candidates = ConversionCandidates(convertible(open), counts, free, inventory, formationTime)
+            conversions
+                .next(engine.models, ModelCoverage(counts, needed), candidates, closings.domains)
+                ?.let { closings.begin(it.replicas, "${it.model.name} is short of replicas") }
+        }
         spareDomains = free.domains
         val spares = freeWorkers.mapTo(HashSet()) { it.incarnation }
         val needs = SpareNeeds(plan, counts.coverage(), placer.loadsWanted)
@@ -146,6 +176,14 @@
         return (newReplicas + newSpares).flatMap { formations.joinOrders.orders(it) } + stagingOrders(staging, engine)
     }
 
+    /** Those of the [open] replicas that may be closed. */
+    private fun convertible(open: List<Replica>): List<Replica> =
+        open.filter { replica ->
+            val key = ReplicaEpoch(replica.name, replica.epoch)
+            val unused = key !in teardowns && key !in closings && key !in formations
+            unused && replica.members.all { monitor.isUsable(it) && it.dataCentre !in evacuated }
+        }
+
     private fun begin(
         placement: Placement,
         engine: EngineProfile,
@@ -176,8 +214,11 @@
         val open =
             workers
                 .filter(teardowns::isServingHead)
-                .filter { head -> checkNotNull(head.membership).key.let { it !in teardowns && it !in formations } }
+                .filter { it.membership?.state == MemberState.OPEN }
+                .filter { isCounted(checkNotNull(it.membership).key) }
                 .map { it.fabricDomain.orEmpty() to ReplicaName.modelOf(checkNotNull(it.membership).replica) }
         return (forming + open).groupingBy { it }.eachCount()
     }
+
+    private fun isCounted(key: ReplicaEpoch) = key !in teardowns && key !in formations && key !in closings
 }
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaPlacer.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaPlacer.kt
@@ -65,6 +65,10 @@
     val full: Map<String, DomainPlan>,
     /** Number of workers that each domain may put into replicas. */
     val capacity: Map<String, Int>,
+    /** Replicas needed by model; null while the shares of the configuration apply. */
+    val needed: Map<String, Double>? = null,
+    /** The model that the free workers of a domain are kept for, by domain. */
+    val reserved: Map<String, String> = emptyMap(),
 )
 
 /** The replicas that serve or are being formed, against the plans. */
@@ -93,7 +97,8 @@
     fun isPlanned(
         model: Model,
         domain: String,
-    ): Boolean = (counts[domain to model.name] ?: 0) < (plans.current[domain]?.get(model.name) ?: 0)
+    ): Boolean =
+        isAllowed(model, domain) && (counts[domain to model.name] ?: 0) < (plans.current[domain]?.get(model.name) ?: 0)
 
     /** Whether [domain] holds as many replicas of [model] as it does when it has all its workers. */
     fun isFull(
@@ -105,14 +110,36 @@
     fun fits(
         model: Model,
         domain: String,
-    ): Boolean = (plans.capacity[domain] ?: 0) - ReplicaPlanner.used(domain, models, counts) >= model.size
+    ): Boolean = isAllowed(model, domain) && freeCapacity(domain) >= model.size
+
+    /** Number of workers that [domain] may put into further replicas. */
+    fun freeCapacity(domain: String): Int =
+        ((plans.capacity[domain] ?: 0) - ReplicaPlanner.used(domain, models, counts)).coerceAtLeast(0)
+
+    private fun isAllowed(
+        model: Model,
+        domain: String,
+    ) = plans.reserved[domain].let { it == null || it == model.name }
 
     /** The replicas of each model, relative to those of a fleet whose domains have all their workers. */
     fun coverage(): Map<String, Double> =
         models.associate { model ->
-            val full = plans.full.values.sumOf { it[model.name] ?: 0 }
-            model.name to if (full == 0) 1.0 else totalOf(model).toDouble() / full
+            val full =
+                plans.needed?.get(model.name) ?: plans.full.values
+                    .sumOf { it[model.name] ?: 0 }
+                    .toDouble()
+            model.name to if (full == 0.0) 1.0 else totalOf(model) / full
         }
+
+    /** Orders models by shortage, the greatest first; by [utilization] where the need is not known. */
+    fun shortestFirst(utilization: (String) -> Double?): Comparator<Model> {
+        val needed = plans.needed
+        return if (needed != null) {
+            compareBy { totalOf(it) / needed.getValue(it.name) }
+        } else {
+            compareBy({ -(utilization(it.name) ?: 0.0) }, { totalOf(it) / ReplicaPlanner.demand(it) })
+        }
+    }
 }
 
 /** Places replicas one at a time until the plan is met or no suitable workers are left. */
@@ -129,18 +156,14 @@
     val loadsWanted = LinkedHashMap<WorkerIncarnation, Model>()
 
     /**
-     * Returns the next replica to form, for the model with the highest utilization first; null when there is none. A
+     * Returns the next replica to form, for the model with the greatest shortage first; null when there is none. A
      * replica that would wait for weights is not formed; its other members stay free, and no other model gets them.
      */
     fun next(): Placement? {
-        val mostUtilizedFirst =
-            compareBy<Model>(
-                { -(placementContext.slotUtilization(it.name) ?: 0.0) },
-                { counts.totalOf(it) / ReplicaPlanner.demand(it) },
-            )
+        val shortestFirst = counts.shortestFirst(placementContext::slotUtilization)
         val held = HashSet<WorkerIncarnation>()
         loadsWanted.clear()
-        return models.sortedWith(mostUtilizedFirst).firstNotNullOfOrNull { place(it, held) }?.also(::commit)
+        return models.sortedWith(shortestFirst).firstNotNullOfOrNull { place(it, held) }?.also(::commit)
     }
 
     private fun commit(placement: Placement) {
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaPlanner.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaPlanner.kt
@@ -33,17 +33,25 @@
     /** Replicas of [model] needed per worker of the fleet; its share of the load is its share of the workers. */
     fun demand(model: Model): Double = (model.share / model.size).coerceAtLeast(MIN_DEMAND)
 
+    /** The demand of [models] by name, where [needed] is the number of replicas needed; null if that is not known. */
+    fun demands(
+        models: List<Model>,
+        needed: Map<String, Double>?,
+    ): Map<String, Double> = needed ?: models.associate { it.name to demand(it) }
+
     /**
      * Returns the plan by domain for domains with [sizes] workers. The largest domain is assumed to be complete;
-     * smaller ones have lost workers and use up their reserve; with [useReserve] all do. Models with large replicas are placed first, since small
-     * replicas fit into the rest. Of all possible numbers of large replicas, the one is chosen that gives the model
-     * with the fewest replicas per demand the most. The replicas that are [present], by domain and model, stay.
+     * smaller ones have lost workers and use up their reserve; with [useReserve] all do. Models with large replicas are
+     * placed first, since small replicas fit into the rest. Of all possible numbers of large replicas, the one is
+     * chosen that gives the model with the fewest replicas per demand the most. The replicas that are [present], by
+     * domain and model, stay.
      */
     fun plan(
         sizes: Map<String, Int>,
         models: List<Model>,
         present: Map<Pair<String, String>, Int> = emptyMap(),
         useReserve: Boolean = false,
+        demands: Map<String, Double> = demands(models, null),
     ): Map<String, DomainPlan> {
         if (models.isEmpty()) return sizes.mapValues { emptyMap() }
         val freeWorkers =
@@ -51,7 +59,7 @@
                 workers -
                     used(domain, models, present)
             }
-        return best(models.sortedByDescending { it.size }, PartialPlan(freeWorkers, present), models)
+        return best(models.sortedByDescending { it.size }, PartialPlan(freeWorkers, present, demands), models)
             .byDomain(sizes.keys)
     }
 
@@ -93,11 +101,12 @@
     private class PartialPlan(
         val freeWorkers: Map<String, Int>,
         val placed: Map<Pair<String, String>, Int>,
+        val demands: Map<String, Double>,
     ) {
         val replicaCount: Int get() = placed.values.sum()
 
         /** The lowest number of replicas per demand among [models]. */
-        fun lowestCoverage(models: List<Model>): Double = models.minOf { count(it) / demand(it) }
+        fun lowestCoverage(models: List<Model>): Double = models.minOf { count(it) / demandOf(it) }
 
         fun byDomain(domains: Set<String>): Map<String, DomainPlan> =
             domains.associateWith { domain ->
@@ -112,11 +121,13 @@
             model: Model,
             allModels: List<Model>,
         ): PartialPlan {
-            val others = (allModels - model).minOfOrNull { count(it) / demand(it) } ?: Double.MAX_VALUE
-            val enough = others * demand(model) * SURPLUS_FACTOR
+            val others = (allModels - model).minOfOrNull { count(it) / demandOf(it) } ?: Double.MAX_VALUE
+            val enough = others * demandOf(model) * SURPLUS_FACTOR
             return generateSequence(this) { if (it.count(model) >= enough) null else it.add(model) }.last()
         }
 
+        private fun demandOf(model: Model) = demands.getValue(model.name)
+
         private fun count(model: Model) = placed.filterKeys { it.second == model.name }.values.sum()
 
         private fun add(model: Model): PartialPlan? {
@@ -129,6 +140,7 @@
             return PartialPlan(
                 freeWorkers + (domain to freeWorkers.getValue(domain) - model.size),
                 placed + (key to (placed[key] ?: 0) + 1),
+                demands,
             )
         }
     }
@@ -140,6 +152,7 @@
     val models: List<Model>,
     val present: Map<Pair<String, String>, Int>,
     val useReserve: Boolean,
+    val demands: Map<String, Double>,
 )
 
 /**
@@ -159,9 +172,10 @@
         models: List<Model>,
         present: Map<Pair<String, String>, Int> = emptyMap(),
         useReserve: Boolean = false,
+        demands: Map<String, Double> = ReplicaPlanner.demands(models, null),
     ): Map<String, DomainPlan> =
-        plans.getOrPut(PlanInput(sizes, models, present, useReserve)) {
-            ReplicaPlanner.plan(sizes, models, present, useReserve)
+        plans.getOrPut(PlanInput(sizes, models, present, useReserve, demands)) {
+            ReplicaPlanner.plan(sizes, models, present, useReserve, demands)
         }
 
     private companion object {
--- a/replica/src/main/kotlin/auburnhall/replica/TeardownManager.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/TeardownManager.kt
@@ -35,7 +35,10 @@
         return open && !hasLeft && membership?.rank == 0 && !monitor.isLost(worker)
     }
 
-    /** Starts teardowns that [workers] and [open] call for, and returns the orders to the heads. */
+    /**
+     * Starts teardowns that [workers] and [open], the replicas that are open or closing, call for, and returns the
+     * orders to the heads.
+     */
     fun update(
         fleet: Fleet,
         open: List<Replica>,
--- a/replica/src/test/kotlin/auburnhall/replica/LossHistory.kt
+++ b/replica/src/test/kotlin/auburnhall/replica/LossHistory.kt
@@ -5,6 +5,7 @@
 package auburnhall.replica
 
 import auburnhall.core.Model
+import auburnhall.core.ModelDemand
 import auburnhall.core.ReplicaName
 import auburnhall.replica.ReplicaSimulation.Companion.LARGE
 import auburnhall.replica.ReplicaSimulation.Companion.SMALL
@@ -20,12 +21,16 @@
     /** Time in milliseconds for which each model had fewer replicas than [NEEDED]. */
     val shortMs = sortedMapOf(LARGE to 0L, SMALL to 0L)
 
+    /** Replicas whose slots the callers fill, by model; null while the controller is not told. */
+    var demand: Map<String, Double>? = null
+
     /** Starts the fleet without losses. */
     fun start() = simulation.run(START_MS)
 
     /** Runs [ms] milliseconds without losses and counts the time of shortage. */
     fun run(ms: Long) =
         repeat((ms / SAMPLE_MS).toInt()) {
+            demand?.let { simulation.controller.demand = it.mapValues { (model, needed) -> count(model, needed) } }
             simulation.run(SAMPLE_MS)
             for (model in listOf(LARGE, SMALL)) {
                 if (simulation.countComplete(model) <
@@ -46,6 +51,15 @@
         between(round)
     }
 
+    private fun count(
+        model: String,
+        needed: Double,
+    ): ModelDemand {
+        val slots = (open()[model] ?: 0) * ENGINE.slots
+        val requests = (needed * ENGINE.slots).toInt()
+        return ModelDemand(minOf(requests, slots), (requests - slots).coerceAtLeast(0), slots)
+    }
+
     private fun loseMember() {
         val head = simulation.openHeads().filter { it.reachable }.random(random)
         val lost = simulation.worker(head.members.random(random))
--- a/replica/src/test/kotlin/auburnhall/replica/LossHistoryTest.kt
+++ b/replica/src/test/kotlin/auburnhall/replica/LossHistoryTest.kt
@@ -12,6 +12,7 @@
     fun `losses every three seconds leave each model the replicas that its callers need`() {
         for (seed in 1..SEEDS) {
             val history = LossHistory(seed).apply { start() }
+            history.demand = mapOf(LARGE to 8.0, SMALL to 30.0)
             history.play(ROUNDS)
             println("seed = $seed short_ms = ${history.shortMs} open = ${history.open()}")
             assertEquals(emptyList<String>(), history.simulation.violations, "seed $seed")
@@ -20,6 +21,26 @@
         }
     }
 
+    /** Guards against a worker in two open replicas where conversions meet lost orders, take-overs and dark domains. */
+    @Test
+    fun `no worker is in two open replicas while domains go dark and controllers change`() {
+        for (seed in 1..SEEDS) {
+            val history = LossHistory(seed).apply { start() }
+            history.simulation.orderLossRate = 0.05
+            history.demand = mapOf(LARGE to 11.0, SMALL to 30.0)
+            history.play(ROUNDS) { round ->
+                val dark = history.simulation.workers.filter { it.domain == "d${round / 3}" }
+                if (round % 3 == 0) dark.forEach { it.reachable = false }
+                if (round % 3 == 2) dark.forEach { it.reachable = true }
+                if (round == 4 || round == 9) history.simulation.replaceController(2_000_000L * round)
+            }
+            history.run(10_000)
+            println("seed = $seed short_ms = ${history.shortMs} open = ${history.open()}")
+            assertEquals(emptyList<String>(), history.simulation.violations, "seed $seed")
+            assertTrue(history.open().getValue(LARGE) >= 7, "seed $seed: ${history.open()}")
+        }
+    }
+
     /** Guards against formations and loads where no request is sent, and against idle reserves elsewhere. */
     @Test
     fun `an evacuated data centre keeps its replicas, and the others use their reserve`() {
@@ -42,6 +63,26 @@
         assertEquals(emptyList<String>(), simulation.violations)
     }
 
+    /** Guards against plans that stay with the configured shares, and against replicas converted back and forth. */
+    @Test
+    fun `replicas follow the demand to the other model and back`() {
+        val history = LossHistory(1).apply { start() }
+        history.demand = mapOf(LARGE to 3.0, SMALL to 48.0)
+        history.run(40_000)
+        val smallDemand = history.open()
+        history.demand = mapOf(LARGE to 10.5, SMALL to 20.0)
+        history.run(60_000)
+        val largeDemand = history.open()
+        val closings = history.simulation.reportedClosings.size
+        history.run(20_000)
+        println("open = $smallDemand, then $largeDemand, closings = $closings")
+        assertTrue(smallDemand.getValue(SMALL) >= 48, "$smallDemand")
+        assertTrue(largeDemand.getValue(LARGE) >= 10, "$largeDemand")
+        assertEquals(closings, history.simulation.reportedClosings.size)
+        assertEquals(emptyList<ReplicaEpoch>(), history.simulation.reportedTeardowns)
+        assertEquals(emptyList<String>(), history.simulation.violations)
+    }
+
     private companion object {
         const val SEEDS = 5
         const val ROUNDS = 14
--- a/routing/src/main/kotlin/auburnhall/routing/TargetHealth.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/TargetHealth.kt
@@ -12,7 +12,10 @@
     private val records = HashMap<TargetKey, Record>()
 
     /** Targets that work, but slowly. */
-    val slow = SlowTargets(clock)
+    val slow = MarkedTargets(clock, SLOW_MS)
+
+    /** Targets that end the requests that they have and take no more. */
+    val closing = MarkedTargets(clock, CLOSING_MS)
 
     /** A request to [key] failed in a way that indicates a fault of the target. */
     fun onFailure(key: TargetKey) {
@@ -62,14 +65,16 @@
 
     /** Whether other targets are preferred to [key]. */
     fun isAvoided(key: TargetKey): Boolean {
-        val record = records[key] ?: return false
-        return maxOf(record.avoidUntilMs, record.suspectUntilMs, record.lostUntilMs) > clock.nowMs()
+        val record = records[key] ?: return key in closing
+        val untilMs = maxOf(record.avoidUntilMs, record.suspectUntilMs, record.lostUntilMs)
+        return untilMs > clock.nowMs() || key in closing
     }
 
     /** Removes targets that are not [present]. */
     fun retain(present: (TargetKey) -> Boolean) {
         records.keys.removeIf { !present(it) }
         slow.retain(present)
+        closing.retain(present)
     }
 
     private class Record {
@@ -95,32 +100,34 @@
         /** Covers the time that the controller needs for a probe; a healthy replica is cleared sooner. */
         const val SUSPECT_MS = 800L
 
+        /** Covers the time until the list of workers shows that the replica is closing. */
+        const val CLOSING_MS = 4_000L
+
+        /** Covers two of the controller's checks of a slow member. */
+        const val SLOW_MS = 2_500L
+
         /** Covers the time until the list of workers shows that the replica is gone. */
         const val LOST_MS = 4_000L
     }
 }
 
-/** Replicas with a slow member that cannot be replaced now. Traffic thread only. */
-class SlowTargets(
+/** Targets that the controller marked, each for [markMs] milliseconds from the last time. Traffic thread only. */
+class MarkedTargets(
     private val clock: Clock,
+    private val markMs: Long,
 ) {
-    private val slowUntilMs = HashMap<TargetKey, Long>()
+    private val markedUntilMs = HashMap<TargetKey, Long>()
 
-    /** Marks [key] as slow for a limited time. */
+    /** Marks [key]. */
     fun mark(key: TargetKey) {
-        slowUntilMs[key] = clock.nowMs() + SLOW_MS
+        markedUntilMs[key] = clock.nowMs() + markMs
     }
 
-    /** Whether [key] is marked as slow. */
-    operator fun contains(key: TargetKey): Boolean = (slowUntilMs[key] ?: 0) > clock.nowMs()
+    /** Whether [key] is marked. */
+    operator fun contains(key: TargetKey): Boolean = (markedUntilMs[key] ?: 0) > clock.nowMs()
 
     /** Removes targets that are not [present]. */
     fun retain(present: (TargetKey) -> Boolean) {
-        slowUntilMs.keys.removeIf { !present(it) }
-    }
-
-    private companion object {
-        /** Covers two of the controller's checks of a slow member. */
-        const val SLOW_MS = 2_500L
+        markedUntilMs.keys.removeIf { !present(it) }
     }
 }
