Revert the reserve of slots for requests on time

Cause: the processes themselves take 1.25 s from power to the first response, so that nearly all requests of that time are late when they are dispatched; the slots that were kept for requests on time stayed idle.

Conclusion: the start of a process has to become shorter first, and waiting requests need an order over all processes, before late requests are held back.

--- a/gateway/src/main/kotlin/auburnhall/gateway/AdmissionQueue.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AdmissionQueue.kt
@@ -42,15 +42,15 @@
     }
 
     /**
-     * Tries to send the waiting requests of each pool in the order of their ranks. Once a request finds no free slot,
-     * those behind it in the pool stay queued, except those that have reached the longest wait, for which admission is
-     * decided again.
+     * Tries to send the waiting requests of each pool: first those that can still meet their latency target, then the
+     * others, in each group by priority and then by age. Once a request finds no free slot, those behind it in the pool
+     * stay queued, except those that have reached the longest wait, for which admission is decided again.
      */
     fun dispatchAll() {
         val now = clock.nowMs()
         for (pool in pools.keys.toList()) {
             val queue = pools.remove(pool).orEmpty()
-            val ordered = queue.sortedBy { it.rank(now) }
+            val ordered = queue.sortedWith(compareBy({ !it.canMeetLatency(now) }, { it.priority }, { it.receivedAtMs }))
             var blocked = false
             for (request in ordered) {
                 if (blocked && !request.waitedMaximum(now)) add(request) else blocked = !request.dispatch() || blocked
--- a/gateway/src/main/kotlin/auburnhall/gateway/Filters.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Filters.kt
@@ -39,8 +39,6 @@
     val service: String,
     /** Time by which the response must be complete, in milliseconds of the monotonic clock. */
     val deadlineMs: Long,
-    /** When its caller sent it for the first time, in milliseconds of the monotonic clock. */
-    val firstSentAtMs: Long = request.receivedAt,
 ) {
     /** Request id for log events; "-" if the caller sent none. */
     val id: String get() = metadata.id ?: "-"
--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -10,7 +10,6 @@
 import auburnhall.routing.QueueState
 import auburnhall.routing.Target
 import auburnhall.routing.TargetPool
-import auburnhall.routing.WaitingRank
 
 /** Forwards one request. Traffic thread only. */
 class ForwardedRequest internal constructor(
@@ -60,18 +59,8 @@
         dispatch()
     }
 
-    /** The rank of the request while it waits at [now]. */
-    fun rank(now: Long) =
-        WaitingRank(
-            late = !canMeetLatency(now),
-            priority = priority,
-            returned = accepted.firstSentAtMs < receivedAtMs - RETURN_DELAY_MS,
-            firstSentAtMs = accepted.firstSentAtMs,
-        )
-
     /** Whether the latency target of the route can still be met if the request is sent at [now]. */
-    private fun canMeetLatency(now: Long): Boolean =
-        now - accepted.firstSentAtMs + FIRST_EVENT_DELAY_MS <= accepted.route.targetLatencyMs
+    fun canMeetLatency(now: Long): Boolean = now - receivedAtMs + FIRST_EVENT_DELAY_MS <= accepted.route.targetLatencyMs
 
     /** Whether [AdmissionPolicy.MAX_WAIT_MS], the longest wait for a slot, has passed since it was received. */
     fun waitedMaximum(now: Long): Boolean = now - receivedAtMs >= AdmissionPolicy.MAX_WAIT_MS
@@ -107,7 +96,7 @@
     }
 
     private fun decide(): Admission {
-        val choice = state.choose(late = !state.mayHaveExecuted && !canMeetLatency(context.clock.nowMs()))
+        val choice = state.choose()
         val admission =
             if (choice is Choice.Full && state.mayHaveExecuted) {
                 Admission.Send(choice.target, choice.load)
@@ -150,8 +139,5 @@
     private companion object {
         /** Assumed time from sending a request with a short prompt to its first event. */
         const val FIRST_EVENT_DELAY_MS = 130L
-
-        /** A caller that sent a request this much earlier than it arrived has sent it to another process before. */
-        const val RETURN_DELAY_MS = 100L
     }
 }
--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -103,12 +103,9 @@
         accepted: AcceptedRequest,
         response: ResponseWriter,
     ) {
-        val route = accepted.route
-        val ageMs = context.callerAge.onRequest(route.name, route.timeoutMs, accepted.metadata.timeLeftMs)
-        val request = accepted.copy(firstSentAtMs = accepted.request.receivedAt - ageMs)
         context.budgets.of(accepted.service).onRequest()
         context.parts.onRequest(accepted.metadata.sharedParts, accepted.served)
-        ForwardedRequest(context, request, response, inFlight).start()
+        ForwardedRequest(context, accepted, response, inFlight).start()
     }
 
     private fun refuse(
--- a/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
@@ -10,7 +10,6 @@
 import auburnhall.core.Scheduler
 import auburnhall.http.HttpClient
 import auburnhall.routing.AdmissionPolicy
-import auburnhall.routing.CallerAge
 import auburnhall.routing.LoadTracker
 import auburnhall.routing.PartGuard
 import auburnhall.routing.ReplicaFailureDetector
@@ -117,8 +116,6 @@
     val metrics = observers.metrics
     val suspicionListener = observers.suspicionListener
 
-    val callerAge = CallerAge(clock)
-
     val buffers = ResponseBuffers()
 
     /** The current configuration and targets. */
--- a/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
@@ -53,9 +53,9 @@
             .of(accepted.service, accepted.metadata.model)
             .filterNot(context.notices::isLeaving)
 
-    /** Chooses the next target among those that the request was not sent to; a [late] one leaves slots to others. */
-    fun choose(late: Boolean = false): Choice {
-        val requirements = TargetRequirements(accepted.service, accepted.metadata.model, sentTo + unreachable, late)
+    /** Chooses the next target among those that the request was not sent to. */
+    fun choose(): Choice {
+        val requirements = TargetRequirements(accepted.service, accepted.metadata.model, sentTo + unreachable)
         val choice = context.router.choose(requirements, targets(), context::waitMs)
         return if (choice is Choice.None && isEvacuated()) Choice.Evacuated else choice
     }
--- a/routing/src/main/kotlin/auburnhall/routing/Admission.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Admission.kt
@@ -53,7 +53,6 @@
             is Choice.None -> refuse("no target", NO_TARGET_RETRY_MS)
             is Choice.Evacuated -> refuse("data centres evacuated", EVACUATED_RETRY_MS)
             is Choice.Full -> whenFull(choice, queue)
-            is Choice.Reserved -> waitForSlot(queue)
             is Choice.Limited -> whenLimited(choice, queue)
         }
 
@@ -80,12 +79,13 @@
         queue: QueueState,
     ): Admission {
         val limit = choice.target.slots * (if (choice.target.replica == null) PLAIN_OVERCOMMIT else REPLICA_OVERCOMMIT)
-        return if (choice.load < limit) Admission.Send(choice.target, choice.load) else waitForSlot(queue)
+        return when {
+            choice.load < limit -> Admission.Send(choice.target, choice.load)
+            queue.waitedMs + expectedMs(queue) < MAX_WAIT_MS -> Admission.Wait
+            else -> refuse("targets full", FULL_RETRY_MS)
+        }
     }
 
-    private fun waitForSlot(queue: QueueState): Admission =
-        if (queue.waitedMs + expectedMs(queue) < MAX_WAIT_MS) Admission.Wait else refuse("targets full", FULL_RETRY_MS)
-
     private fun refuse(
         reason: String,
         baseMs: Long,
--- a/routing/src/main/kotlin/auburnhall/routing/LoadTracker.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/LoadTracker.kt
@@ -30,7 +30,7 @@
 
 /** Load by target. Used on the traffic thread only. */
 class LoadTracker(
-    internal val clock: Clock,
+    private val clock: Clock,
 ) {
     private val ownByKey = HashMap<TargetKey, TargetLoad>()
     private val reportsByPeer = HashMap<String, ReceivedLoad>()
@@ -78,13 +78,6 @@
         reportsByPeer[peer] = ReceivedLoad(loads, clock.nowMs())
     }
 
-    /** Whether the load of other processes was reported recently. */
-    val knowsOthers: Boolean
-        get() {
-            val now = clock.nowMs()
-            return aggregate.isKnown(now) || reportsByPeer.values.any { it.isValid(now) }
-        }
-
     /** Load that this process puts on [key]. */
     fun own(key: TargetKey): TargetLoad = ownByKey[key] ?: TargetLoad.NONE
 
@@ -138,9 +131,6 @@
         total = ReceivedLoad(loads, clock.nowMs())
     }
 
-    /** Whether there is a recent total. */
-    internal fun isKnown(now: Long): Boolean = total?.isValid(now) == true
-
     /** Load that the other processes put on the target with the key hash [hash]; null without a recent total. */
     internal fun others(
         hash: Int,
--- a/routing/src/main/kotlin/auburnhall/routing/Router.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Router.kt
@@ -14,8 +14,6 @@
     val model: String?,
     /** Targets that this request has already been sent to. */
     val tried: Set<TargetKey> = emptySet(),
-    /** Whether it cannot be on time any more, so that it leaves slots to those that can. */
-    val late: Boolean = false,
 )
 
 /** Routing result for one request. */
@@ -32,9 +30,6 @@
         val load: Int,
     ) : Choice
 
-    /** There are free slots, but requests that can still be on time are likely to need them. */
-    data object Reserved : Choice
-
     /** Every target takes more requests only later, the first one in [waitMs] milliseconds. */
     data class Limited(
         val waitMs: Long,
@@ -56,8 +51,6 @@
     private val unreported: UnreportedRequests,
     private val hasIdleConnection: (Address) -> Boolean,
 ) {
-    private val reserve = SlotReserve(load.clock, load, unreported, random)
-
     /**
      * Chooses among [targets], all of which can serve [requirements]; [waitMs] returns the time, in milliseconds, until
      * a target takes a request, 0 if it does now.
@@ -74,21 +67,9 @@
         if (ready.isEmpty() && pool.isNotEmpty()) return Choice.Limited(pool.minOf(waitMs))
         val (slow, others) = ready.partition { it.key in health.slow }
         val preferred = spread(others)
-        val choice = if (preferred is Choice.Send || slow.isEmpty()) preferred else orSlow(preferred, spread(slow))
-        return if (requirements.late && !mayTakeSlot(choice, ready)) Choice.Reserved else choice
+        return if (preferred is Choice.Send || slow.isEmpty()) preferred else orSlow(preferred, spread(slow))
     }
 
-    /** Whether a late request may be sent to what was chosen; the slots of a plain service are not reserved. */
-    private fun mayTakeSlot(
-        choice: Choice,
-        targets: List<Target>,
-    ): Boolean =
-        when (choice) {
-            is Choice.Send -> choice.target.replica == null || reserve.tryTake(targets)
-            is Choice.Full -> choice.target.replica == null
-            else -> true
-        }
-
     /** Prefers a slow target with a free slot to queueing, and any slow target to none. */
     private fun orSlow(
         preferred: Choice,
