Name the position of an evacuation's log line apart from its time

The field 'at' of evacuation.begun and evacuation.ended replaced the time of the line. It is now 'position'. The test of processes that the store turns away cuts them off 3 s before the evacuation and allows 2.5 s for a report, so that their registration still exists.

--- a/entry/src/main/kotlin/auburnhall/entry/EvacuationExchange.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EvacuationExchange.kt
@@ -99,7 +99,7 @@
         peer: String?,
     ) {
         val at = known.statements.first { it.dataCentre == dataCentre }.at
-        events.log(event, "data_centre" to dataCentre, "source" to source, "peer" to peer, "at" to at)
+        events.log(event, "data_centre" to dataCentre, "source" to source, "peer" to peer, "position" to at)
     }
 
     private fun repeatKnown() {
--- a/entry/src/test/kotlin/auburnhall/entry/EvacuationExchangeTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/EvacuationExchangeTest.kt
@@ -38,12 +38,13 @@
         val fleet = settledFleet(relayFrom = 1_000)
         val away = fleet.live.take(PROCESSES / 3)
         away.forEach { it.cut = true }
+        fleet.advance(AWAY_MS)
         fleet.evacuate("a")
-        fleet.advance(BOUND_MS)
+        fleet.advance(REPORTED_MS)
         fleet.assertEvacuated("a")
         assertTrue(away.all { process -> process.events.events.any { it.details.toMap()["source"] == "peer" } })
         fleet.takeBack("a")
-        fleet.advance(BOUND_MS)
+        fleet.advance(REPORTED_MS)
         fleet.assertEvacuated()
         away.forEach { it.cut = false }
         fleet.advance(SETTLE_MS)
@@ -136,6 +137,10 @@
         const val PROCESSES = 7
         const val SETTLE_MS = 8_000L
         const val BOUND_MS = 5_000L
+        const val AWAY_MS = 3_000L
+
+        /** The time in which another process reads the change and its datagram or a repetition arrives. */
+        const val REPORTED_MS = 2_500L
         const val OUTAGE_MS = 30_000L
         const val REWRITTEN_MS = 2_000L
         const val STEPS = 80
