--- a/process-test/src/test/kotlin/auburnhall/process/EntryProcessHandle.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/EntryProcessHandle.kt
@@ -10,6 +10,14 @@
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
 
+/** What most tests leave as it is. */
+class ProcessOptions(
+    /** The port for callers. */
+    val port: Int = EntryProcessHandle.freePort(),
+    /** Number of processes from which on they read the changes of the store through each other. */
+    val relayFrom: Int = 2,
+)
+
 /** An entry process that uses the store at [storePort]; processes that communicate as peers share [peerPort]. */
 class EntryProcessHandle(
     name: String,
@@ -17,9 +25,10 @@
     dir: Path,
     val host: String = "127.0.0.1",
     private val peerPort: Int = freePort(),
-    /** The port for callers. */
-    val port: Int = freePort(),
+    options: ProcessOptions = ProcessOptions(),
 ) : AutoCloseable {
+    /** The port for callers. */
+    val port: Int = options.port
     private val settingsFile = dir.resolve("$name.json")
 
     private val readinessPort = freePort()
@@ -43,7 +52,7 @@
                 "--metrics-port",
                 "0",
                 "--relay-from",
-                "2",
+                "${options.relayFrom}",
             )
         builder.environment()["AUBURNHALL_BOOT"] = settingsFile.toString()
         builder.redirectErrorStream(true).redirectOutput(logFile.toFile())
@@ -103,10 +112,12 @@
     ) = """{"node_name":"$name","ip":"$host","zone":"z1",
         "listen":{"front":"$host:$port","ready":"$host:$readinessPort"},
         "internal_ports":[$peerPort,$peerPort],"bootstrap":true,"bounds":{"grace_s":8,"retry_budget_ratio":0.2,
-        "budget_window_s":10,"retry_budget_extra":100},
+        "budget_window_s":10,"retry_budget_extra":100,"evacuate_ms":$EVACUATE_MS},
         "platform":{"address":"127.0.0.1:$storePort","ttl_min_ms":1000}}"""
 
     companion object {
+        /** The bound on an evacuation in the settings of all processes. */
+        const val EVACUATE_MS = 5_000L
         private const val OK_STATUS = 200
         private const val TIMEOUT_S = 60L
         private const val POLL_INTERVAL_MS = 50L
--- a/process-test/src/test/kotlin/auburnhall/process/FaultyWorker.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/FaultyWorker.kt
@@ -5,7 +5,6 @@
 package auburnhall.process
 
 import auburnhall.standin.StandinPlatform
-import java.io.OutputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -22,6 +21,7 @@
     private val service: String,
     private val name: String,
     private val faultShare: Double,
+    private val dataCentre: String = StandinPlatform.DATA_CENTRES.first(),
 ) : AutoCloseable {
     private val threads = Executors.newCachedThreadPool { task -> Thread(task).apply { isDaemon = true } }
     private val attempts = ConcurrentHashMap<String, AtomicInteger>()
@@ -76,6 +76,7 @@
         private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
 
         init {
+            record.dataCentres[id] = dataCentre
             threads.execute {
                 while (!listener.isClosed) {
                     val socket = runCatching { listener.accept() }.getOrNull() ?: break
@@ -91,7 +92,7 @@
         fun enter() {
             val state = if (leaving) "draining" else "in_service"
             val entry =
-                """{"service":"$service","address":"127.0.0.1:${listener.localPort}","zone":"z1","slots":100,
+                """{"service":"$service","address":"127.0.0.1:${listener.localPort}","zone":"$dataCentre","slots":100,
                     "state":"$state","born":${record.seed + lives}}"""
             platform.scheduler.run { platform.store.put(key, entry) }
         }
@@ -109,7 +110,7 @@
         private val socket: Socket,
     ) {
         private val input = socket.getInputStream().buffered()
-        private val output: OutputStream = socket.getOutputStream()
+        private val output = socket.getOutputStream()
         private var lateCopy: ByteArray? = null
         private var strayed = false
 
@@ -282,10 +283,9 @@
                 val part = chunk("id: ${lastSound + 1}\nda")
                 return breakOff { connection.write(if (random.nextBoolean()) part else part.dropLast(3)) }
             }
-            if (chunked) connection.write("0\r\n\r\n")
+            if (chunked) connection.write(END)
             run.end = RunEnd.WHOLE
-            val copy = head + chunk(soakEvent(request.id, 1)) + "0\r\n\r\n"
-            if (conduct == Conduct.COPY) connection.repeatAnswer(copy, random)
+            if (conduct == Conduct.COPY) connection.repeatAnswer("$head${chunk(soakEvent(request.id, 1))}$END", random)
             return chunked
         }
     }
@@ -295,5 +295,6 @@
         const val SEED_FACTOR = 7919
         const val STATUS_LENGTH = 3
         const val OK = 200
+        const val END = "0\r\n\r\n"
     }
 }
--- a/process-test/src/test/kotlin/auburnhall/process/ProcessTest.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/ProcessTest.kt
@@ -119,7 +119,8 @@
     /** Guards against a process that neither serves nor ends, so that nothing starts it again. */
     @Test
     fun `a process whose port is taken exits with a message`() {
-        val second = EntryProcessHandle("p2", platform.storePort, dir, port = processes[0].port)
+        val second =
+            EntryProcessHandle("p2", platform.storePort, dir, options = ProcessOptions(port = processes[0].port))
         processes.add(second)
         assertEquals(CANNOT_LISTEN, second.awaitExit())
         second.awaitText("auburnhall: cannot listen: ")
--- a/process-test/src/test/kotlin/auburnhall/process/SoakChecker.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakChecker.kt
@@ -8,7 +8,18 @@
 import java.util.concurrent.TimeUnit
 
 /** What a finding breaks. */
-enum class SoakRule { MIXED, REFUSED_BUT_RUN, TWICE, ORDER, LOST, LOST_UNSENT, LOST_AFTER_STRAY, CONFIG, UNASKED }
+enum class SoakRule {
+    MIXED,
+    REFUSED_BUT_RUN,
+    TWICE,
+    ORDER,
+    LOST,
+    LOST_UNSENT,
+    LOST_AFTER_STRAY,
+    CONFIG,
+    UNASKED,
+    EVACUATED,
+}
 
 /** One breach of [rule] by request [id]. */
 data class Finding(
@@ -31,7 +42,7 @@
     /** All findings. */
     fun findings(): List<Finding> {
         val unasked = record.unasked.map { (id, detail) -> Finding(record.seed, SoakRule.UNASKED, id, null, detail) }
-        return unasked +
+        return unasked + evacuated() +
             record.calls.flatMap { call -> SoakRule.entries.filter { breaks(it, call) }.map { found(it, call) } }
     }
 
@@ -53,6 +64,24 @@
         return Finding(record.seed, rule, call.id, fault?.kind, detail)
     }
 
+    /** Runs at workers in data centres whose evacuation had to be in force. */
+    private fun evacuated(): List<Finding> =
+        record.evacuations.flatMap { evacuation ->
+            val inForce = inForceNanos(evacuation) until evacuation.untilNanos
+            record.runs
+                .filter { it.beginNanos in inForce && record.dataCentres[it.worker] == evacuation.dataCentre }
+                .map { Finding(record.seed, SoakRule.EVACUATED, it.id, FaultKind.EVACUATION, "$it") }
+        }
+
+    /** The bound counts from when the store answers, if it was in trouble. */
+    private fun inForceNanos(evacuation: SoakEvacuation): Long {
+        val boundNanos = TimeUnit.MILLISECONDS.toNanos(EntryProcessHandle.EVACUATE_MS)
+        val from = evacuation.fromNanos
+        return record.storeTroubles.sortedBy { it.first }.fold(from + boundNanos) { inForce, (begin, end) ->
+            if (begin < inForce && end > from) maxOf(inForce, end + boundNanos) else inForce
+        }
+    }
+
     private fun runsOf(call: SoakCall) = runs[call.id].orEmpty()
 
     private fun breaks(
@@ -68,7 +97,7 @@
             SoakRule.LOST_AFTER_STRAY -> isLost(call, afterStray = true)
             SoakRule.LOST_UNSENT -> isLostUnsent(call)
             SoakRule.CONFIG -> isLate(call)
-            SoakRule.UNASKED -> false
+            SoakRule.UNASKED, SoakRule.EVACUATED -> false
         }
 
     private fun isDenied(call: SoakCall) = call.status in PROMISES && runsOf(call).any { it.executed }
--- a/process-test/src/test/kotlin/auburnhall/process/SoakDay.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakDay.kt
@@ -50,7 +50,10 @@
     private val shape = SoakShape.entries[seed % SoakShape.entries.size]
     val workers =
         listOf("orders", "feeds").flatMap { service ->
-            (1..WORKERS).map { FaultyWorker(platform, record, service, "$service$it", shape.faultShare) }
+            (1..WORKERS).map { number ->
+                val dataCentre = StandinPlatform.DATA_CENTRES[number % StandinPlatform.DATA_CENTRES.size]
+                FaultyWorker(platform, record, service, "$service$number", shape.faultShare, dataCentre)
+            }
         }
     private val slots = arrayOfNulls<SoakProcess>(MIN_PROCESSES + seed % (MAX_PROCESSES - MIN_PROCESSES + 1))
     private val generations = IntArray(slots.size)
@@ -71,6 +74,7 @@
     /** Plays the whole day. */
     fun play(): SoakRecord {
         platform.streamScript = SoakStreams(record, shape.faultShare)
+        platform.workers.forEach { record.dataCentres[it.identity.id] = it.identity.dataCentre }
         configuration.write()
         platform.scheduler.run { platform.store.remove("servers/i-orders") }
         workers.forEach { it.start() }
--- a/process-test/src/test/kotlin/auburnhall/process/SoakFaults.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakFaults.kt
@@ -23,6 +23,7 @@
     WORKER_LEAVES,
     MEMBER_KILLED,
     MEMBER_CRASHED,
+    EVACUATION,
 }
 
 /** Makes the faults of [day], which [random] draws. */
@@ -44,6 +45,7 @@
             FaultKind.STORE -> troubleStore()
             FaultKind.ENTRY_REMOVED, FaultKind.WORKER_KILLED, FaultKind.WORKER_LEAVES -> onWorker(kind)
             FaultKind.MEMBER_KILLED, FaultKind.MEMBER_CRASHED -> onMember(kind)
+            FaultKind.EVACUATION -> evacuate()
         }
     }
 
@@ -119,10 +121,28 @@
         val mode = StoreMode.entries.filter { it != StoreMode.SOUND }.random(random)
         val durationMs = random.nextLong(STORE_MIN_MS, STORE_MAX_MS)
         note(FaultKind.STORE, null, "$mode for $durationMs ms")
+        val fromNanos = System.nanoTime()
         day.store.mode = mode
         day.beside {
             TimeUnit.MILLISECONDS.sleep(durationMs)
             day.store.mode = StoreMode.SOUND
+            day.record.storeTroubles.add(fromNanos to System.nanoTime())
+        }
+    }
+
+    /** Evacuates a data centre for longer than the bound; one at a time, so that the other faults strike requests. */
+    private fun evacuate() {
+        val dataCentre = StandinPlatform.DATA_CENTRES.random(random)
+        val durationMs = random.nextLong(EVACUATION_MIN_MS, EVACUATION_MAX_MS)
+        if (day.record.evacuations.any { it.untilNanos == Long.MAX_VALUE }) return
+        note(FaultKind.EVACUATION, null, "$dataCentre for $durationMs ms")
+        val evacuation = SoakEvacuation(dataCentre)
+        day.record.evacuations.add(evacuation)
+        day.platform.evacuate(dataCentre)
+        day.beside {
+            TimeUnit.MILLISECONDS.sleep(durationMs)
+            evacuation.untilNanos = System.nanoTime()
+            day.platform.endEvacuation(dataCentre)
         }
     }
 
@@ -170,6 +190,8 @@
         const val FREEZE_MS = 1_000L
         const val STORE_MIN_MS = 1_000L
         const val STORE_MAX_MS = 5_000L
+        const val EVACUATION_MIN_MS = EntryProcessHandle.EVACUATE_MS + 1_000
+        const val EVACUATION_MAX_MS = EntryProcessHandle.EVACUATE_MS + 4_000
         const val ENTRY_MS = 1_000L
         const val WORKER_AWAY_MS = 1_200L
         const val MEMBER_AWAY_MS = 2_500L
--- a/process-test/src/test/kotlin/auburnhall/process/SoakRecord.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakRecord.kt
@@ -4,6 +4,7 @@
  */
 package auburnhall.process
 
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.TimeUnit
 
@@ -107,6 +108,16 @@
     val atNanos: Long = System.nanoTime()
 }
 
+/** An evacuation of [dataCentre], from the write of its key on. */
+class SoakEvacuation(
+    val dataCentre: String,
+) {
+    val fromNanos: Long = System.nanoTime()
+
+    @Volatile
+    var untilNanos = Long.MAX_VALUE
+}
+
 /** Everything that one day saw. */
 class SoakRecord(
     val seed: Int,
@@ -121,6 +132,14 @@
     /** Times at which the thread of the stand-in workers stood still. */
     val standstills = ConcurrentLinkedQueue<Pair<Long, Long>>()
 
+    val evacuations = ConcurrentLinkedQueue<SoakEvacuation>()
+
+    /** Times at which the store was in trouble. */
+    val storeTroubles = ConcurrentLinkedQueue<Pair<Long, Long>>()
+
+    /** The data centres of the workers, by id. */
+    val dataCentres = ConcurrentHashMap<String, String>()
+
     /** What a worker got that it must not get. */
     val unasked = ConcurrentLinkedQueue<Pair<String, String>>()
 
--- a/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
@@ -1,6 +1,6 @@
 /*
  * A small stand-in for the platform on loopback, for tests and the demo: the store with a configuration, model workers
- * in two fabric domains, and a worker of a plain service.
+ * in two fabric domains, each in a data centre of its own, and a worker of a plain service.
  */
 package auburnhall.standin
 
@@ -22,8 +22,9 @@
 class StandinPlatform {
     private val loop = newEventLoop("standin")
     private val identities =
-        listOf("d1", "d2").flatMap { d -> (1..WORKERS_PER_DOMAIN).map { WorkerIdentity("i-$d-$it", "engine", d) } } +
-            WorkerIdentity("i-orders", "orders", null)
+        listOf("d1", "d2").zip(DATA_CENTRES).flatMap { (domain, dataCentre) ->
+            (1..WORKERS_PER_DOMAIN).map { WorkerIdentity("i-$domain-$it", "engine", domain, dataCentre) }
+        } + WorkerIdentity("i-orders", "orders", null)
     private var nextStartNumber = 1L
 
     /** Part of a prompt that crashes each worker that begins to respond to it; null for none. */
@@ -40,6 +41,9 @@
     /** When requests arrived at the worker of the plain service, in milliseconds of the monotonic clock. */
     val orderTimesMs = CopyOnWriteArrayList<Long>()
 
+    /** The requests that reached a worker; orders and reports do not count. */
+    val arrivals = CopyOnWriteArrayList<Arrival>()
+
     /** What the streams of the model workers send. */
     @Volatile
     var streamScript: StreamScript = StreamScript()
@@ -71,6 +75,11 @@
 
     internal fun takeStartNumber(): Long = nextStartNumber++
 
+    /** A request reached a worker in [dataCentre]. */
+    internal fun onArrival(dataCentre: String) {
+        arrivals.add(Arrival(Clock.SYSTEM.nowMs(), dataCentre))
+    }
+
     internal fun isAlive(id: String): Boolean = workers.any { it.identity.id == id && it.alive }
 
     /** Whether a prompt with the parts [prefix] crashes the worker that begins to respond; counts it. */
@@ -86,6 +95,18 @@
     /** Starts the worker with [id] again, under the same id and without its membership. */
     fun restart(id: String) = scheduler.run { workers.first { it.identity.id == id }.crash() }
 
+    /** Asks that nothing more is sent to the workers in [dataCentre]; calls [onWritten] after that. */
+    fun evacuate(
+        dataCentre: String,
+        onWritten: () -> Unit = { },
+    ) = scheduler.run {
+        store.put("op/evacuate/$dataCentre", "{}")
+        onWritten()
+    }
+
+    /** Takes the evacuation of [dataCentre] back. */
+    fun endEvacuation(dataCentre: String) = scheduler.run { store.remove("op/evacuate/$dataCentre") }
+
     private fun onControlRequest(
         request: InboundRequest,
         response: ResponseWriter,
@@ -105,6 +126,8 @@
     }
 
     companion object {
+        /** The data centres of the workers;. */
+        val DATA_CENTRES = listOf("z1", "z2")
         private const val WORKERS_PER_DOMAIN = 4
         private const val OK_STATUS = 200
 
--- a/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
@@ -28,6 +28,13 @@
     val id: String,
     val service: String,
     val domain: String?,
+    val dataCentre: String = StandinPlatform.DATA_CENTRES.first(),
+)
+
+/** A request that reached a worker in [dataCentre]. */
+data class Arrival(
+    val atMs: Long,
+    val dataCentre: String,
 )
 
 /** What streams send; tests replace it to see each run and to break it off. */
@@ -116,6 +123,7 @@
             identity.domain != null -> stream(request, response)
             else -> {
                 executions++
+                platform.onArrival(identity.dataCentre)
                 platform.orderTimesMs.add(Clock.SYSTEM.nowMs())
                 val headers = stamped(request, identity.id)
                 platform.ordersPerSecond?.let { headers.set("Server-Limit", it.toString()) }
@@ -159,6 +167,7 @@
         request: InboundRequest,
         response: ResponseWriter,
     ) {
+        platform.onArrival(identity.dataCentre)
         val current = membership
         if (current?.state != "open") {
             response.send(UNAVAILABLE_STATUS, stamped(request, identity.id).set("Not-Executed", "1"), ByteArray(0))
@@ -212,7 +221,7 @@
     private fun JsonObjectBuilder.putEntry() {
         put("service", identity.service)
         put("address", address)
-        put("zone", "z1")
+        put("zone", identity.dataCentre)
         put("slots", SLOTS)
         put("state", READY)
         put("born", startNumber)
