--- a/process-test/src/test/kotlin/auburnhall/process/SoakRecord.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakRecord.kt
@@ -4,6 +4,7 @@
  */
 package auburnhall.process
 
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.TimeUnit
 
@@ -114,6 +115,16 @@
     const val BOUND = PER_SECOND * 1.5 + 5
 }
 
+/** An evacuation of [dataCentre], from the write of its key on. */
+class SoakEvacuation(
+    val dataCentre: String,
+) {
+    val fromNanos: Long = System.nanoTime()
+
+    @Volatile
+    var untilNanos = Long.MAX_VALUE
+}
+
 /** Everything that one day saw. */
 class SoakRecord(
     val seed: Int,
@@ -131,6 +142,14 @@
     /** Lives of plain workers, by id, with the time of their start. */
     val lives = ConcurrentLinkedQueue<Pair<String, Long>>()
 
+    val evacuations = ConcurrentLinkedQueue<SoakEvacuation>()
+
+    /** Times at which the store was in trouble. */
+    val storeTroubles = ConcurrentLinkedQueue<Pair<Long, Long>>()
+
+    /** The data centres of the workers, by id. */
+    val dataCentres = ConcurrentHashMap<String, String>()
+
     /** What a worker got that it must not get. */
     val unasked = ConcurrentLinkedQueue<Pair<String, String>>()
 
--- a/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
@@ -29,6 +29,13 @@
     val id: String,
     val service: String,
     val domain: String?,
+    val dataCentre: String = StandinPlatform.DATA_CENTRES.first(),
+)
+
+/** A request that reached a worker in [dataCentre]. */
+data class Arrival(
+    val atMs: Long,
+    val dataCentre: String,
 )
 
 /** What streams send; tests replace it to see each run and to break it off. */
@@ -131,6 +138,7 @@
             identity.domain != null -> stream(request, response)
             else -> {
                 executions++
+                platform.onArrival(identity.dataCentre)
                 platform.orderTimesMs.add(Clock.SYSTEM.nowMs())
                 val headers = stamped(request, identity.id).setCold(coldRemainingMs)
                 platform.ordersPerSecond?.let { headers.set("Server-Limit", it.toString()) }
@@ -174,6 +182,7 @@
         request: InboundRequest,
         response: ResponseWriter,
     ) {
+        platform.onArrival(identity.dataCentre)
         val current = membership
         if (current?.state != "open") {
             response.send(UNAVAILABLE_STATUS, stamped(request, identity.id).set("Not-Executed", "1"), ByteArray(0))
@@ -230,7 +239,7 @@
     private fun JsonObjectBuilder.putEntry() {
         put("service", identity.service)
         put("address", address)
-        put("zone", "z1")
+        put("zone", identity.dataCentre)
         put("slots", SLOTS)
         put("state", READY)
         put("born", startNumber)
