--- a/entry/src/main/kotlin/auburnhall/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryMetrics.kt
@@ -7,6 +7,7 @@
 import auburnhall.gateway.GatewayMetrics
 import auburnhall.http.CloseReason
 import auburnhall.http.StrayKind
+import auburnhall.replica.ModelStatus
 import auburnhall.routing.QuarantinedPart
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
@@ -105,6 +106,22 @@
         byPart("refusals", "Requests that this process has refused because of the part.") { it.refusals }
     }
 
+    /** Registers gauges with the replicas of each model by data centre, which are read at each scrape. */
+    fun models(status: () -> List<ModelStatus>) {
+        val byModel = { name: String, help: String, value: (ModelStatus) -> Number ->
+            GaugeWithCallback
+                .builder()
+                .name("auburnhall_$name")
+                .help(help)
+                .labelNames("data_centre", "model")
+                .callback { gauge -> status().forEach { gauge.call(value(it).toDouble(), it.dataCentre, it.model) } }
+                .register(registry)
+        }
+        byModel("replicas_open", "Replicas that are open or being formed; only at the controller.") { it.open }
+        byModel("replicas_planned", "Replicas that are planned; only at the controller.") { it.planned }
+        byModel("model_coverage", "Replicas relative to those needed; only at the controller.") { it.coverage }
+    }
+
     /** All metrics in the text format. */
     fun scrape(): ByteArray {
         val out = ByteArrayOutputStream()
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -58,6 +58,7 @@
             "1 while this process is the elected controller of the replicas, 0 otherwise.",
         ) { if (plane.isLeading) 1 else 0 }
         metrics.gauge("auburnhall_log_dropped_total", "Log lines that were dropped.") { log.droppedLines }
+        metrics.models { plane.replicas.status }
         metrics.quarantinedParts(clock) { traffic.verdicts.quarantined }
         traffic.start()
         traffic.scheduler.run {
--- a/entry/src/main/kotlin/auburnhall/entry/ReplicaControllers.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ReplicaControllers.kt
@@ -9,6 +9,7 @@
 import auburnhall.replica.ControlThreadStall
 import auburnhall.replica.ControllerContext
 import auburnhall.replica.ControllerTerm
+import auburnhall.replica.ModelStatus
 import auburnhall.replica.Order
 import auburnhall.replica.ReplicaController
 import auburnhall.replica.ReplicaEpoch
@@ -26,6 +27,11 @@
     /** The term of this process as the controller; null while it is not. */
     var term: ControllerTerm? = null
         private set
+
+    /** The status of the models while this process is the controller, else empty. May be read on any thread. */
+    @Volatile
+    var status: List<ModelStatus> = emptyList()
+        private set
     private var decisionScheduled = false
     private val controlStall = ControlThreadStall(context.clock)
 
@@ -36,6 +42,7 @@
     fun onTerm(newTerm: ControllerTerm?) {
         term = newTerm
         controllers.clear()
+        status = emptyList()
     }
 
     /** The replica [key] is suspected to have failed; it is probed without waiting for the next tick. */
@@ -72,6 +79,7 @@
                 }
             controller.tick(view.fleet, engine, view.tracker(service.name)).forEach { send(controller, it) }
         }
+        status = controllers.values.flatMap { it.status }
     }
 
     private fun send(
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
@@ -34,6 +34,11 @@
     private val estimate = DemandEstimate(context.clock)
     private val closings = ReplicaClosings(context)
     private val conversions = ConversionPlanner(context.clock)
+    private val planStatus = PlanStatus(context)
+
+    /** The replicas of each model by data centre, as of the last decision. */
+    var status: List<ModelStatus> = emptyList()
+        private set
 
     /** The demand by model, as last counted. */
     var demand: Map<String, ModelDemand>
@@ -172,6 +177,7 @@
             sparePlanner.modelsToLoad(loads.forSpares(engine)).map { begin(it, engine, inventory, spare = true) }
         val forming = formations.all.flatMapTo(HashSet()) { it.memberIds }
         val settled = workers.filter { monitor.isUsable(it) && it.id !in forming }
+        status = planStatus.update(engine.models, workers, PlanSnapshot(plan, present, counts, demand))
         val staging = StagingPlanner(engine, needs, inventory).wanted(settled, spares)
         return (newReplicas + newSpares).flatMap { formations.joinOrders.orders(it) } + stagingOrders(staging, engine)
     }
--- a/replica/src/test/kotlin/auburnhall/replica/LossHistoryTest.kt
+++ b/replica/src/test/kotlin/auburnhall/replica/LossHistoryTest.kt
@@ -1,5 +1,6 @@
 package auburnhall.replica
 
+import auburnhall.core.MemberState
 import auburnhall.replica.ReplicaSimulation.Companion.LARGE
 import auburnhall.replica.ReplicaSimulation.Companion.SMALL
 import org.junit.jupiter.api.Assertions.assertEquals
@@ -48,6 +49,9 @@
         val simulation = history.simulation
         val before = history.open().getValue(SMALL)
         val (there, _) = simulation.openHeads().partition { simulation.dataCentreOf(it.domain) == "z0" }
+        val status = simulation.controller.status
+        assertEquals(listOf(3, 3, 3), status.filter { it.model == LARGE }.sortedBy { it.dataCentre }.map { it.open })
+        assertEquals(1.0, status.first { it.model == SMALL }.coverage, 0.01)
         simulation.controller.evacuated = setOf("z0")
         simulation.movedDataCentres.clear()
         simulation.add("d0")
@@ -57,6 +61,7 @@
         assertEquals(setOf("z1", "z2"), simulation.movedDataCentres)
         assertEquals(there - there.last(), simulation.openHeads().filter { simulation.dataCentreOf(it.domain) == "z0" })
         assertTrue(history.open().getValue(SMALL) > before, "${history.open()}")
+        assertEquals(setOf("z1", "z2"), simulation.controller.status.mapTo(HashSet()) { it.dataCentre })
         simulation.controller.evacuated = emptySet()
         simulation.run(20_000)
         assertEquals(9, history.open().getValue(LARGE))
@@ -83,6 +88,24 @@
         assertEquals(emptyList<String>(), history.simulation.violations)
     }
 
+    /** Guards against a fleet with one model that stages, or whose replicas no longer take members without weights. */
+    @Test
+    fun `a replica of the only model is formed with a member that loads the weights`() {
+        val engine = LossHistory.ENGINE.copy(models = LossHistory.ENGINE.models.take(1))
+        val simulation = ReplicaSimulation(domains = 2, workersPerDomain = 10, engine = engine)
+        simulation.run(LossHistory.START_MS)
+        simulation.workers
+            .filter { it.domain == "d0" }
+            .take(3)
+            .forEach { simulation.kill(it) }
+        simulation.add("d0")
+        simulation.run(6_000)
+        assertEquals(1, simulation.workers.count { it.membership?.state == MemberState.JOINING })
+        simulation.run(14_000)
+        assertEquals(2, simulation.countComplete(LARGE))
+        assertEquals(0, simulation.stagingLoadsAtMs.size)
+    }
+
     private companion object {
         const val SEEDS = 5
         const val ROUNDS = 14
