--- a/gateway/src/test/kotlin/auburnhall/gateway/EvacuationTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/EvacuationTest.kt
@@ -84,6 +84,20 @@
         assertEquals(List(2) { "data centres evacuated" }, ended.map { it.details.toMap()["reason"] })
     }
 
+    /** Guards against requests to an evacuated data centre because the other one is lost. */
+    @Test
+    fun `while the other data centre is lost, requests are refused, and served there once it has returned`() {
+        val inZ = worker()
+        val inY = worker(Script.Send(full("y")))
+        serve(inZ)
+        evacuate("z")
+        assertEquals(SERVICE_UNAVAILABLE, status(call("/unsafe/x", method = "POST")))
+        serveFrom(inZ.port, inY)
+        evacuate("z")
+        assertTrue(call("/unsafe/x", method = "POST").endsWith("y"))
+        assertEquals(0, inZ.requests.size)
+    }
+
     /** Guards against a request that is sent once its connection is there, after the evacuation has begun. */
     @Test
     fun `a request that waits for a connection there is sent to another data centre`() {
