Ask the store before the ports that no caller needs are bound

The store was asked after the ports for readiness, metrics and other processes were bound, one after the other. It is now asked once the port for callers is bound.

--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -62,10 +62,10 @@
         traffic.scheduler.run {
             traffic.peerMessenger.parts.onQuarantined = { parts -> control.run { plane.quarantine.onSnapshot(parts) } }
         }
+        control.run { plane.start() }
         endpoints.serveReadiness(traffic.loop, settings.readinessListenAddress)
         endpoints.serveMetrics(controlLoop, Address(settings.host, options.metricsPort))
         serveRelay()
-        control.run { plane.start() }
         traffic.scheduler.run { publishDemand() }
         control.after(DEFERRED_START_MS) { Thread(::startDeferred, "deferred").start() }
     }
