--- a/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinPlatform.kt
@@ -75,11 +75,6 @@
 
     internal fun takeStartNumber(): Long = nextStartNumber++
 
-    /** A request reached a worker in [dataCentre]. */
-    internal fun onArrival(dataCentre: String) {
-        arrivals.add(Arrival(Clock.SYSTEM.nowMs(), dataCentre))
-    }
-
     internal fun isAlive(id: String): Boolean = workers.any { it.identity.id == id && it.alive }
 
     /** Whether a prompt with the parts [prefix] crashes the worker that begins to respond; counts it. */
@@ -132,7 +127,7 @@
     }
 
     companion object {
-        /** The data centres of the workers;. */
+        /** The data centres of the workers. */
         val DATA_CENTRES = listOf("z1", "z2")
         private const val WORKERS_PER_DOMAIN = 4
         private const val OK_STATUS = 200
--- a/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
@@ -138,7 +138,7 @@
             identity.domain != null -> stream(request, response)
             else -> {
                 executions++
-                platform.onArrival(identity.dataCentre)
+                platform.arrivals.add(Arrival(Clock.SYSTEM.nowMs(), identity.dataCentre))
                 platform.orderTimesMs.add(Clock.SYSTEM.nowMs())
                 val headers = stamped(request, identity.id).setCold(coldRemainingMs)
                 platform.ordersPerSecond?.let { headers.set("Server-Limit", it.toString()) }
@@ -182,7 +182,7 @@
         request: InboundRequest,
         response: ResponseWriter,
     ) {
-        platform.onArrival(identity.dataCentre)
+        platform.arrivals.add(Arrival(Clock.SYSTEM.nowMs(), identity.dataCentre))
         val current = membership
         if (current?.state != "open") {
             response.send(UNAVAILABLE_STATUS, stamped(request, identity.id).set("Not-Executed", "1"), ByteArray(0))
