--- a/entry/src/main/kotlin/auburnhall/entry/RelayParents.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelayParents.kt
@@ -42,7 +42,6 @@
     private val self = context.settings.processName
     private val pausedUntilMs = HashMap<String, Long>()
     private var lastController: String? = null
-    private var lastTree: RelayTree? = null
 
     /** Number of other processes. */
     val others: Int get() = peers.processes.size
@@ -50,27 +49,21 @@
     /** Whether there are enough processes to relay changes. */
     val relayed: Boolean get() = isRelayed(peers)
 
-    /** The relay tree of the processes that are known now. It is kept, since sorting hundreds of names takes time. */
-    val tree: RelayTree
-        get() {
-            val places = placesOf(peers)
-            val root = root()
-            val known = lastTree?.takeIf { it.controller == root && it.dataCentres == places }
-            return known ?: RelayTree(root, places).also { lastTree = it }
-        }
+    /** The relay tree of the processes that are known now. */
+    val tree: RelayTree get() = treeOf(peers, root())
 
     /** Level of this process in the relay tree; 0 for the controller, 1 for its children. */
     val level: Int get() = tree.level(self)
 
     /** The parent to ask; null if there is none that can be asked, as for the controller. */
-    fun select(): String? = selectIn(peers, tree)
+    fun select(): String? = selectIn(peers, root())
 
     /** The parent that a process which knows just [items] of the store is to ask; null if there is none. */
     fun selectFirst(items: Map<String, StoreItem>): ChangeSource? {
         val read = ReadDirectory(self, items)
-        val tree = read.controller?.let { RelayTree(it, placesOf(read)) }
-        val name = tree?.let { selectIn(read, it) } ?: return null
-        return connect(name, Address(read.processes.getValue(name).host, context.settings.peerPort))
+        val name = selectIn(read, read.controller)
+        val host = name?.let { read.processes[it]?.host } ?: return null
+        return connect(name, Address(host, context.settings.peerPort))
     }
 
     /** Any other process, if possible one that did not fail. */
@@ -107,16 +100,20 @@
 
     private fun selectIn(
         among: ProcessDirectory,
-        tree: RelayTree,
+        root: String?,
     ): String? {
         val now = context.clock.nowMs()
         pausedUntilMs.values.removeIf { it <= now }
-        if (!isRelayed(among)) return null
-        return tree.parents(self).firstOrNull { it in among.processes && it !in pausedUntilMs }
+        if (root == null || root == self || !isRelayed(among)) return null
+        return treeOf(among, root)
+            .parents(self)
+            .firstOrNull { it in among.processes && it !in pausedUntilMs }
     }
 
-    private fun placesOf(among: ProcessDirectory) =
-        among.processes.mapValues { it.value.dataCentre } + (self to context.settings.dataCentre)
+    private fun treeOf(
+        among: ProcessDirectory,
+        root: String,
+    ) = RelayTree(root, among.processes.mapValues { it.value.dataCentre } + (self to context.settings.dataCentre))
 
     private companion object {
         /** Time for which a process is not selected after a failure. */
--- a/entry/src/main/kotlin/auburnhall/entry/RelayTree.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelayTree.kt
@@ -11,14 +11,14 @@
  * holds the data centre of each of them by name, of the process that computes it as well.
  */
 class RelayTree(
-    val controller: String,
-    val dataCentres: Map<String, String>,
+    private val controller: String,
+    private val dataCentres: Map<String, String>,
 ) {
     private val members: Map<String, List<String>> =
         (dataCentres.keys - controller).groupBy { dataCentres.getValue(it) }.mapValues { it.value.sorted() }
 
     /** Number of levels below the controller, at least 1. */
-    val levels: Int = maxOf(1, members.maxOfOrNull { (place, names) -> depth(place, names.lastIndex) } ?: 1)
+    val levels: Int get() = maxOf(1, members.maxOfOrNull { (place, names) -> depth(place, names.lastIndex) } ?: 1)
 
     /** Level of [self] below the controller, 1 for its children, 0 for the controller. */
     fun level(self: String): Int {
