--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -46,14 +46,13 @@
     LeadershipListener,
     ProcessDirectory {
     private val mirror: StoreMirror = StoreMirror(context, this, ControlTiming())
-    private val selector = RelaySelector(context, this, relayMinProcesses, connect)
     private val view =
         StoreView(context.settings.processName, context.events, listener, context.clock, MirroredEvacuations()) {
             mirror.storeWasUnavailable
         }
 
     /** Relays the store's changes to other processes. */
-    val relay = RelayServer(context.clock, context.scheduler, mirror, context.settings.dataCentre)
+    val relay = RelayServer(context.clock, context.scheduler, mirror)
     private val registration = ProcessRegistration(context)
     private val leadership: Leadership = Leadership(context, this, MirroredElection())
 
@@ -77,7 +76,7 @@
     override val processes: Map<String, PeerProcess> get() = view.peers
 
     init {
-        mirror.relaySelector = selector
+        mirror.relaySelector = RelaySelector(context, this, relayMinProcesses, connect)
         mirror.onConfirmed = relay::onConfirmed
         context.store.onNewEra = {
             context.events.log("store.restored", "era" to context.store.era, "mirrored" to mirror.position)
@@ -187,7 +186,7 @@
 
         override val waitMs: Long get() = if (relay.hasClients) RELAY_WATCH_WAIT_MS else MAX_WATCH_WAIT_MS
 
-        override val relayWaitMs: Long get() = RELAY_WAIT_SUM_MS / selector.levels
+        override val relayWaitMs: Long get() = RELAY_WAIT_SUM_MS / RelayTree.levels(view.peers.size + 1)
     }
 
     private companion object {
--- a/entry/src/main/kotlin/auburnhall/entry/PeerChangeSource.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerChangeSource.kt
@@ -56,29 +56,15 @@
     val changes: List<RelayedChange> = emptyList(),
     /** The era of the store in which [at] was reached. */
     val era: Long = 0,
-    /** A compressed batch that replaces this one; only in responses to processes that understand it. */
-    val compressed: ByteArray? = null,
 ) {
     /** The response body. */
     @OptIn(ExperimentalSerializationApi::class)
     fun encode(): ByteArray = ProtoBuf.encodeToByteArray(serializer(), this)
 
-    /** The response body, compressed if it is long; the outer batch then changes nothing by itself. */
-    fun encodeCompressed(): ByteArray {
-        val plain = encode()
-        if (plain.size < BatchCompression.MIN_BYTES) return plain
-        return RelayedChanges(at = 0, ageMs, compressed = BatchCompression.deflate(plain)).encode()
-    }
-
     companion object {
-        /** Decodes a response body; throws [SerializationException] for other bytes. */
-        fun decode(bytes: ByteArray): RelayedChanges {
-            val read = decodePlain(bytes)
-            return read.compressed?.let { decodePlain(BatchCompression.inflate(it)) } ?: read
-        }
-
+        /** Decodes the output of [encode]; throws [SerializationException] for other bytes. */
         @OptIn(ExperimentalSerializationApi::class)
-        private fun decodePlain(bytes: ByteArray): RelayedChanges = ProtoBuf.decodeFromByteArray(serializer(), bytes)
+        fun decode(bytes: ByteArray): RelayedChanges = ProtoBuf.decodeFromByteArray(serializer(), bytes)
     }
 }
 
--- a/entry/src/main/kotlin/auburnhall/entry/RelayParents.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelayParents.kt
@@ -49,11 +49,11 @@
     /** Whether there are enough processes to relay changes. */
     val relayed: Boolean get() = isRelayed(peers)
 
-    /** The relay tree of the processes that are known now. */
-    val tree: RelayTree get() = treeOf(peers, root())
+    /** Number of levels of the relay tree. */
+    val levels: Int get() = RelayTree.levels(peers.processes.size + 1)
 
     /** Level of this process in the relay tree; 0 for the controller, 1 for its children. */
-    val level: Int get() = tree.level(self)
+    val level: Int get() = RelayTree.level(self, root(), peers.processes.keys)
 
     /** The parent to ask; null if there is none that can be asked, as for the controller. */
     fun select(): String? = selectIn(peers, root())
@@ -105,16 +105,11 @@
         val now = context.clock.nowMs()
         pausedUntilMs.values.removeIf { it <= now }
         if (root == null || root == self || !isRelayed(among)) return null
-        return treeOf(among, root)
-            .parents(self)
+        return RelayTree
+            .parents(self, root, among.processes.keys)
             .firstOrNull { it in among.processes && it !in pausedUntilMs }
     }
 
-    private fun treeOf(
-        among: ProcessDirectory,
-        root: String,
-    ) = RelayTree(root, among.processes.mapValues { it.value.dataCentre } + (self to context.settings.dataCentre))
-
     private companion object {
         /** Time for which a process is not selected after a failure. */
         const val PAUSE_MS = 3_000L
--- a/entry/src/main/kotlin/auburnhall/entry/RelaySelector.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelaySelector.kt
@@ -44,14 +44,10 @@
      */
     val maxAgeMs: Long
         get() {
-            val tree = parents.tree
-            val below = tree.levels - tree.level(context.settings.processName)
-            return RelayServer.MAX_AGE_MS - below * (AGE_DIFFERENCE_SUM_MS / tree.levels)
+            val levels = parents.levels
+            return RelayServer.MAX_AGE_MS - (levels - parents.level) * (AGE_DIFFERENCE_SUM_MS / levels)
         }
 
-    /** Number of levels of the relay tree below the controller. */
-    val levels: Int get() = parents.tree.levels
-
     /** Whether state of age [ageMs] is too old. */
     fun isTooOld(ageMs: Long?): Boolean = ageMs != null && ageMs > maxAgeMs
 
--- a/entry/src/main/kotlin/auburnhall/entry/RelayServer.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelayServer.kt
@@ -11,8 +11,6 @@
 import auburnhall.http.RequestHandler
 import auburnhall.http.ResponseWriter
 import auburnhall.http.newHeaders
-import java.net.URLDecoder
-import java.net.URLEncoder
 
 /** The state that is relayed. */
 interface RelayedState {
@@ -38,21 +36,14 @@
      * is recent, with or without changes.
      */
     val outdated: Boolean = false,
-    /** The data centre of the process that polls, which then understands compressed batches; null if not stated. */
-    val dataCentre: String? = null,
 ) {
-    /** The request's path and query: revision, wait, era, [outdated] and [dataCentre], separated by commas. */
+    /** The request's path and query: revision, wait, era and, if set, [outdated], separated by commas. */
     val uri: String
-        get() {
-            val flag = if (outdated) OUTDATED else ""
-            val place = dataCentre?.let { "," + URLEncoder.encode(it, Charsets.UTF_8) }.orEmpty()
-            return "${RelayServer.PATH}?${from.revision},$waitMs,${from.era},$flag$place"
-        }
+        get() = "${RelayServer.PATH}?${from.revision},$waitMs,${from.era}${if (outdated) ",$OUTDATED" else ""}"
 
     companion object {
         private const val OUTDATED = "1"
         private const val OUTDATED_FIELD = 3
-        private const val DATA_CENTRE_FIELD = 4
 
         /** Reads a poll's [uri]; without an era, as of older versions, that is [defaultEra]. Null if it is invalid. */
         fun parse(
@@ -64,9 +55,7 @@
             val waitMs = query.getOrNull(1)?.toLongOrNull()
             val era = query.getOrNull(2)?.toLongOrNull() ?: defaultEra
             if (revision == null || waitMs == null) return null
-            val outdated = query.getOrNull(OUTDATED_FIELD) == OUTDATED
-            val dataCentre = query.getOrNull(DATA_CENTRE_FIELD)?.let { URLDecoder.decode(it, Charsets.UTF_8) }
-            return RelayPoll(StorePosition(era, revision), waitMs, outdated, dataCentre)
+            return RelayPoll(StorePosition(era, revision), waitMs, query.getOrNull(OUTDATED_FIELD) == OUTDATED)
         }
     }
 }
@@ -76,12 +65,10 @@
     private val clock: Clock,
     private val scheduler: Scheduler,
     private val state: RelayedState,
-    /** The data centre of this process. */
-    private val dataCentre: String,
 ) : RequestHandler {
     private val pendingPolls = LinkedHashSet<Poll>()
     private var lastPollAtMs: Long? = null
-    private val lastBatches = HashMap<Boolean, EncodedBatch>()
+    private var lastBatch: EncodedBatch? = null
 
     /** Whether other processes take changes from this one, which then has to keep its state recent. */
     val hasClients: Boolean get() = lastPollAtMs?.let { clock.nowMs() - it < CLIENT_ACTIVE_MS } == true
@@ -94,7 +81,7 @@
         when {
             request.path != PATH -> response.refuse(NOT_FOUND)
             poll == null -> response.refuse(BAD_REQUEST)
-            else -> onPoll(Poll(poll, response), poll.waitMs.coerceIn(0, MAX_WAIT_MS))
+            else -> onPoll(Poll(poll.from, poll.outdated, response), poll.waitMs.coerceIn(0, MAX_WAIT_MS))
         }
     }
 
@@ -140,23 +127,28 @@
         if (changes == null || age == null) {
             poll.response.refuse(GONE)
         } else {
-            poll.response.send(OK, newHeaders(), encode(poll, changes, age))
+            poll.response.send(OK, newHeaders(), encode(poll.from, changes, age))
         }
     }
 
     /** Most polls ask for the same changes; they share one encoding, so that a long value is not held for each. */
     private fun encode(
-        poll: Poll,
+        from: StorePosition,
         changes: List<StoreChange>,
         ageMs: Long,
     ): ByteArray {
         val at = state.position
-        val known = lastBatches[poll.remote]?.takeIf { it.from == poll.from && it.at == at && it.ageMs == ageMs }
-        if (known != null && changes.isNotEmpty()) return known.bytes
-        val relayed = changes.map(RelayedChange::of)
-        val batch = RelayedChanges(at.revision, ageMs, state.storeWasUnavailable, relayed, at.era)
-        val bytes = if (poll.remote) batch.encodeCompressed() else batch.encode()
-        lastBatches[poll.remote] = EncodedBatch(poll.from, at, ageMs, bytes)
+        val known = lastBatch?.takeIf { changes.isNotEmpty() && it.from == from && it.at == at && it.ageMs == ageMs }
+        val bytes =
+            known?.bytes
+                ?: RelayedChanges(
+                    at.revision,
+                    ageMs,
+                    state.storeWasUnavailable,
+                    changes.map(RelayedChange::of),
+                    at.era,
+                ).encode()
+        lastBatch = EncodedBatch(from, at, ageMs, bytes)
         return bytes
     }
 
@@ -169,16 +161,11 @@
 
     private fun ResponseWriter.refuse(status: Int) = send(status, newHeaders(), ByteArray(0))
 
-    private inner class Poll(
-        poll: RelayPoll,
+    private class Poll(
+        val from: StorePosition,
+        val outdated: Boolean,
         val response: ResponseWriter,
-    ) {
-        val from = poll.from
-        val outdated = poll.outdated
-
-        /** Whether the batch crosses data centres and may be compressed. */
-        val remote = poll.dataCentre != null && poll.dataCentre != dataCentre
-    }
+    )
 
     companion object {
         /** Path of polls. */
--- a/entry/src/main/kotlin/auburnhall/entry/RelayTree.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelayTree.kt
@@ -1,58 +1,61 @@
 /*
  * Determines from which other process each process takes the store's changes. This limits the load of many processes on
  * the store: only the controller watches it, and each further process adds one connection between two processes instead
- * of a request to the store for every change. It also limits the traffic between data centres, which has a price: one
- * process of each data centre takes the changes from the controller, the others from processes of their own.
+ * of a request to the store for every change.
  */
 package auburnhall.entry
 
-/**
- * A tree with [controller] as its root, which each process computes from the processes that it knows. [dataCentres]
- * holds the data centre of each of them by name, of the process that computes it as well.
- */
-class RelayTree(
-    private val controller: String,
-    private val dataCentres: Map<String, String>,
-) {
-    private val members: Map<String, List<String>> =
-        (dataCentres.keys - controller).groupBy { dataCentres.getValue(it) }.mapValues { it.value.sorted() }
-
-    /** Number of levels below the controller, at least 1. */
-    val levels: Int get() = maxOf(1, members.maxOfOrNull { (place, names) -> depth(place, names.lastIndex) } ?: 1)
+/** A tree with the controller as its root, which each process computes from the names of the processes it knows. */
+object RelayTree {
+    /** Number of child processes of a process; two levels below the controller hold 272. */
+    const val FAN_OUT = 16
 
-    /** Level of [self] below the controller, 1 for its children, 0 for the controller. */
-    fun level(self: String): Int {
-        val place = dataCentres[self]
-        return if (self == controller || place == null) 0 else depth(place, members.getValue(place).indexOf(self))
+    /** Number of levels below the controller, at least 1, in a tree of [processes] processes with the controller. */
+    fun levels(processes: Int): Int {
+        var levels = 1
+        var levelSize = FAN_OUT
+        var covered = 1 + levelSize
+        while (covered < processes) {
+            levels++
+            levelSize *= FAN_OUT
+            covered += levelSize
+        }
+        return levels
     }
 
-    /** The processes from which [self] may take changes, in order of preference; none for the controller. */
-    fun parents(self: String): List<String> {
-        val place = dataCentres[self]
-        if (self == controller || place == null) return emptyList()
-        val names = members.getValue(place)
-        val index = names.indexOf(self)
-        val first = firstOfLocalTree(place)
+    /** Level of [self] below [controller], 1 for its children; the arguments are those of [parents]. */
+    fun level(
+        self: String,
+        controller: String,
+        processes: Collection<String>,
+    ): Int = if (self == controller) 0 else levels(1 + others(self, controller, processes).indexOf(self) + 1)
+
+    /**
+     * The processes from which [self] may take changes, in order of preference; none for [controller] itself.
+     * [processes] are all known processes, with or without [self].
+     */
+    fun parents(
+        self: String,
+        controller: String,
+        processes: Collection<String>,
+    ): List<String> {
+        val others = others(self, controller, processes)
+        val index = others.indexOf(self)
         return when {
-            index < first -> listOf(controller)
-            index < first + FAN_OUT -> names.take(minOf(index, first * SUBSTITUTES)) + controller
-            else -> parentLevel(names.drop(first), index - first)
+            index < 0 -> emptyList()
+            index < FAN_OUT -> listOf(controller)
+            else -> parentLevel(others, index)
         }
     }
 
-    /** Number of processes that take changes from the controller before the tree of [place] begins. */
-    private fun firstOfLocalTree(place: String) = if (place == dataCentres[controller]) 0 else 1
-
-    private fun depth(
-        place: String,
-        index: Int,
-    ): Int {
-        val first = firstOfLocalTree(place)
-        return if (index < first) 1 else first + levelOf(index - first)
-    }
+    private fun others(
+        self: String,
+        controller: String,
+        processes: Collection<String>,
+    ) = (processes.toSet() + self - controller).sorted()
 
     private fun parentLevel(
-        names: List<String>,
+        others: List<String>,
         index: Int,
     ): List<String> {
         var levelStart = FAN_OUT
@@ -63,30 +66,6 @@
         }
         val parentCount = levelSize / FAN_OUT
         val preferred = (index - levelStart) % parentCount
-        return (0 until parentCount).map { names[levelStart - parentCount + (preferred + it) % parentCount] }
-    }
-
-    companion object {
-        /** Number of child processes of a process; two levels below it hold 272. */
-        const val FAN_OUT = 16
-
-        /**
-         * Number of processes of another data centre, the first included, that its processes ask before they ask the
-         * controller: when the first is lost, the second takes its place.
-         */
-        private const val SUBSTITUTES = 3
-
-        /** Level, from 1, of the process [index] of a tree in which each process has [FAN_OUT] children. */
-        private fun levelOf(index: Int): Int {
-            var level = 1
-            var levelSize = FAN_OUT
-            var covered = levelSize
-            while (covered <= index) {
-                level++
-                levelSize *= FAN_OUT
-                covered += levelSize
-            }
-            return level
-        }
+        return (0 until parentCount).map { others[levelStart - parentCount + (preferred + it) % parentCount] }
     }
 }
--- a/entry/src/main/kotlin/auburnhall/entry/StoreLoader.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreLoader.kt
@@ -105,8 +105,7 @@
 
         private fun askRelay() {
             val relay = relayOf(read.items) ?: return askStore()
-            val poll = RelayPoll(position(read.oldest), waitMs = 0, outdated = true, context.settings.dataCentre)
-            relay.changes(poll) { result ->
+            relay.changes(RelayPoll(position(read.oldest), waitMs = 0, outdated = true)) { result ->
                 if (current === this && !storeAsked) {
                     result.onSuccess(::onRelayed).onFailure { askStore() }
                 }
--- a/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
@@ -120,8 +120,7 @@
         val selected = relaySelector?.next(ageMs) ?: SelectedSource(StoreChangeSource(context.store))
         val id = ++lastWatchId
         source = selected
-        val poll = RelayPoll(position, waitMs(selected), selected.outdated, context.settings.dataCentre)
-        selected.source.changes(poll) { result ->
+        selected.source.changes(RelayPoll(position, waitMs(selected), selected.outdated)) { result ->
             if (id == lastWatchId) {
                 source = null
                 result.onSuccess { onChanges(selected, it) }.onFailure { onWatchError(selected, it) }
