Revert the bounded rate of calls to the store and the trees by data centre; keep the counts

Change: RelaySelector, StoreLoader and StoreMirror are as before. CountedStore and auburnhall_store_calls_total stay.

--- a/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
+++ b/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
@@ -122,14 +122,10 @@
     /** Called when a response shows that another era has begun, before the callback of its call. */
     var onNewEra: () -> Unit
 
-    /**
-     * Reads a page of items whose keys begin with [prefix], starting after [afterKey]; null for the first page. If it
-     * [mayBeOld], the page costs a tenth and may lack the changes of the last seconds; each page shows another moment.
-     */
+    /** Reads a page of items whose keys begin with [prefix], starting after [afterKey]; null for the first page. */
     fun range(
         prefix: String,
         afterKey: String?,
-        mayBeOld: Boolean = false,
         done: StoreCallback<StorePage>,
     )
 
--- a/entry/src/main/kotlin/auburnhall/entry/ChangeSource.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ChangeSource.kt
@@ -6,6 +6,7 @@
 import auburnhall.core.KeyValueStore
 import auburnhall.core.StoreCallback
 import auburnhall.core.StoreChanges
+import auburnhall.core.StorePosition
 import com.github.michaelbull.result.map
 
 /** Changes and how up to date their source was when it sent them. */
@@ -24,9 +25,10 @@
     /** The name of the process that supplies them; null for the store. */
     val peer: String?
 
-    /** Passes the changes that [poll] asks for to [done]; an empty list if there is none within its wait. */
+    /** Passes the changes after [from] to [done]; waits up to [waitMs] for one, then passes an empty list. */
     fun changes(
-        poll: RelayPoll,
+        from: StorePosition,
+        waitMs: Long,
         done: StoreCallback<ChangeBatch>,
     )
 }
@@ -38,9 +40,10 @@
     override val peer: String? = null
 
     override fun changes(
-        poll: RelayPoll,
+        from: StorePosition,
+        waitMs: Long,
         done: StoreCallback<ChangeBatch>,
-    ) = store.watch("", poll.from.revision, poll.waitMs) { result ->
+    ) = store.watch("", from.revision, waitMs) { result ->
         done(result.map { ChangeBatch(it, ageMs = 0, storeWasUnavailable = false, era = store.era) })
     }
 }
--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -77,7 +77,6 @@
 
     init {
         mirror.relaySelector = RelaySelector(context, this, relayMinProcesses, connect)
-        mirror.onConfirmed = relay::onConfirmed
         context.store.onNewEra = {
             context.events.log("store.restored", "era" to context.store.era, "mirrored" to mirror.position)
             leadership.onNewEra()
@@ -174,12 +173,7 @@
 
     private inner class ControlTiming : MirrorTiming {
         override val batchMs: Long
-            get() =
-                if (leadership.isLeading || relay.hasClients || controller == null) {
-                    RELAY_BATCH_MS
-                } else {
-                    followerBatchMs
-                }
+            get() = if (leadership.isLeading || relay.hasClients) RELAY_BATCH_MS else followerBatchMs
 
         private val followerBatchMs =
             minOf(FOLLOWER_BATCH_MS, (context.settings.bounds.evacuateMs ?: Long.MAX_VALUE) / BATCHES_PER_EVACUATION)
@@ -200,8 +194,7 @@
 
         /**
          * Batching interval of the controller and of processes that relay changes; short, since replica control and the
-         * child processes in the relay tree wait for what workers report. Also that of a process that knows of no
-         * controller: it would otherwise claim the key up to 0.6 s after another process has taken it.
+         * child processes in the relay tree wait for what workers report.
          */
         const val RELAY_BATCH_MS = 100L
 
--- a/entry/src/main/kotlin/auburnhall/entry/CountedStore.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/CountedStore.kt
@@ -1,6 +1,6 @@
 /*
- * Counts the calls of this process to the store by kind. The operators pay for each call; a renewal and a range read
- * that may be old cost a tenth of the others.
+ * Counts the calls of this process to the store by kind. The operators pay for each call; a renewal costs a tenth of
+ * the others.
  */
 package auburnhall.entry
 
@@ -11,26 +11,20 @@
 import auburnhall.core.StorePage
 import auburnhall.core.StoreTransaction
 
-/** The kinds of calls to the store, and what a call costs in tenths of a full call. */
-enum class StoreCallKind(
-    val tenths: Int,
-) {
-    RANGE(FULL),
-    SERIALIZABLE_RANGE(TENTH),
-    WATCH(FULL),
-    TRANSACTION(FULL),
-    LEASE(FULL),
-    RENEWAL(TENTH),
-    REVOCATION(FULL),
+/** The kinds of calls to the store. */
+enum class StoreCallKind {
+    RANGE,
+    WATCH,
+    TRANSACTION,
+    LEASE,
+    RENEWAL,
+    REVOCATION,
     ;
 
     /** The value of the metric's label. */
     val label = name.lowercase()
 }
 
-private const val FULL = 10
-private const val TENTH = 1
-
 /** Passes all calls on to [store] and their kinds to [onCall]. */
 class CountedStore(
     private val store: KeyValueStore,
@@ -39,11 +33,10 @@
     override fun range(
         prefix: String,
         afterKey: String?,
-        mayBeOld: Boolean,
         done: StoreCallback<StorePage>,
     ) {
-        onCall(if (mayBeOld) StoreCallKind.SERIALIZABLE_RANGE else StoreCallKind.RANGE)
-        store.range(prefix, afterKey, mayBeOld, done)
+        onCall(StoreCallKind.RANGE)
+        store.range(prefix, afterKey, done)
     }
 
     override fun watch(
--- a/entry/src/main/kotlin/auburnhall/entry/PeerChangeSource.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerChangeSource.kt
@@ -9,6 +9,7 @@
 import auburnhall.core.StoreChanges
 import auburnhall.core.StoreError
 import auburnhall.core.StoreItem
+import auburnhall.core.StorePosition
 import auburnhall.http.BufferedHttpClient
 import auburnhall.http.BufferedResult
 import auburnhall.http.HttpBody
@@ -75,11 +76,12 @@
     private val client: BufferedHttpClient,
 ) : ChangeSource {
     override fun changes(
-        poll: RelayPoll,
+        from: StorePosition,
+        waitMs: Long,
         done: StoreCallback<ChangeBatch>,
     ) {
-        val request = OutboundRequest(HttpMethod.GET, poll.uri, newHeaders(), HttpBody.EMPTY)
-        client.call(address, request, poll.waitMs + RESPONSE_MARGIN_MS) { result ->
+        val request = OutboundRequest(HttpMethod.GET, RelayPoll(from, waitMs).uri, newHeaders(), HttpBody.EMPTY)
+        client.call(address, request, waitMs + RESPONSE_MARGIN_MS) { result ->
             when (result) {
                 is BufferedResult.Failed -> done(Err(StoreError.NoAnswer(address, result.cause)))
                 is BufferedResult.Completed -> done(read(address, result.status, result.body))
--- a/entry/src/main/kotlin/auburnhall/entry/RelayServer.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/RelayServer.kt
@@ -31,20 +31,11 @@
 class RelayPoll(
     val from: StorePosition,
     val waitMs: Long,
-    /**
-     * Whether the state of the process that polls is too old. It then takes a state of any age, and waits for one that
-     * is recent, with or without changes.
-     */
-    val outdated: Boolean = false,
 ) {
-    /** The request's path and query: revision, wait, era and, if set, [outdated], separated by commas. */
-    val uri: String
-        get() = "${RelayServer.PATH}?${from.revision},$waitMs,${from.era}${if (outdated) ",$OUTDATED" else ""}"
+    /** The request's path and query: revision, wait and era, separated by commas. */
+    val uri: String get() = "${RelayServer.PATH}?${from.revision},$waitMs,${from.era}"
 
     companion object {
-        private const val OUTDATED = "1"
-        private const val OUTDATED_FIELD = 3
-
         /** Reads a poll's [uri]; without an era, as of older versions, that is [defaultEra]. Null if it is invalid. */
         fun parse(
             uri: String,
@@ -54,8 +45,7 @@
             val revision = query[0].toLongOrNull()
             val waitMs = query.getOrNull(1)?.toLongOrNull()
             val era = query.getOrNull(2)?.toLongOrNull() ?: defaultEra
-            if (revision == null || waitMs == null) return null
-            return RelayPoll(StorePosition(era, revision), waitMs, query.getOrNull(OUTDATED_FIELD) == OUTDATED)
+            return if (revision == null || waitMs == null) null else RelayPoll(StorePosition(era, revision), waitMs)
         }
     }
 }
@@ -81,32 +71,25 @@
         when {
             request.path != PATH -> response.refuse(NOT_FOUND)
             poll == null -> response.refuse(BAD_REQUEST)
-            else -> onPoll(Poll(poll.from, poll.outdated, response), poll.waitMs.coerceIn(0, MAX_WAIT_MS))
+            else -> onPoll(Poll(poll.from, response), poll.waitMs.coerceIn(0, MAX_WAIT_MS))
         }
     }
 
     /** Answers the waiting polls; call after each batch of changes. */
     fun onChanges() = pendingPolls.toList().forEach(::answer)
 
-    /** The state was found to be up to date; answers the processes whose own state is too old. */
-    fun onConfirmed() {
-        if (recent) pendingPolls.filter { it.outdated }.forEach(::answer)
-    }
-
-    private val recent: Boolean get() = state.ageMs?.let { it <= RECENT_AGE_MS } == true
-
     private fun onPoll(
         poll: Poll,
         waitMs: Long,
     ) {
-        if (!poll.outdated) lastPollAtMs = clock.nowMs()
+        lastPollAtMs = clock.nowMs()
         val age = state.ageMs
         val changes = state.since(poll.from)
         when {
-            age == null || (age > MAX_AGE_MS && !poll.outdated) -> poll.response.refuse(UNAVAILABLE)
+            age == null || age > MAX_AGE_MS -> poll.response.refuse(UNAVAILABLE)
             poll.from.era > state.position.era -> poll.response.refuse(UNAVAILABLE)
             changes == null -> poll.response.refuse(GONE)
-            changes.isNotEmpty() || (poll.outdated && recent) -> answer(poll)
+            changes.isNotEmpty() -> answer(poll)
             else -> holdUntilChange(poll, waitMs)
         }
     }
@@ -163,7 +146,6 @@
 
     private class Poll(
         val from: StorePosition,
-        val outdated: Boolean,
         val response: ResponseWriter,
     )
 
@@ -177,9 +159,6 @@
          */
         const val MAX_AGE_MS = 1_200L
 
-        /** Maximum age of a state that ends the wait of a process whose own state is too old; below its maximum age. */
-        private const val RECENT_AGE_MS = 600L
-
         /** Limits how long a client can make this process hold a poll. */
         private const val MAX_WAIT_MS = 10_000L
 
--- a/entry/src/main/kotlin/auburnhall/entry/StoreAvailability.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreAvailability.kt
@@ -30,27 +30,20 @@
         context.events.log("store.regained", "after_ms" to now - lostSinceMs)
     }
 
-    /**
-     * The store was restored, or was unavailable to the process that the changes come from: entries that it lacks are
-     * written again, or expire, as after an outage.
-     */
+    /** The store was restored: entries that the copy lacks are written again, or expire, as after an outage. */
     fun onRestored() {
         regainedAtMs = context.clock.nowMs()
     }
 
-    /** A request failed with [error]. */
-    fun onError(error: StoreError) {
-        if (lostAtMs != null) return
-        lostAtMs = context.clock.nowMs()
-        context.events.log("store.lost", "error" to error)
-    }
-
     /** A request failed with [error]; calls [retry] after the backoff. */
     fun onError(
         error: StoreError,
         retry: () -> Unit,
     ) {
-        onError(error)
+        if (lostAtMs == null) {
+            lostAtMs = context.clock.nowMs()
+            context.events.log("store.lost", "error" to error)
+        }
         val backoffMs = FIRST_BACKOFF_MS shl failures.coerceAtMost(MAX_BACKOFF_DOUBLINGS)
         failures++
         context.scheduler.after(backoffMs + context.random.nextLong(backoffMs)) { retry() }
--- a/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
@@ -54,11 +54,9 @@
     private val availability = StoreAvailability(context)
     private val loader = StoreLoader(context, availability, ::onLoaded)
     private var lastWatchId = 0L
-    private var source: SelectedSource? = null
-    private val age = StateAge(context.clock)
-
-    /** Called when a source has said how recent the state is, with or without changes; set before [start]. */
-    var onConfirmed: () -> Unit = {}
+    private var source: ChangeSource? = null
+    private var upToDateAtMs: Long? = null
+    private var sourceLostStore = false
 
     /** Selects the source of each watch, the store when null; set before [start]. */
     var relaySelector: RelaySelector? = null
@@ -69,9 +67,9 @@
     /** The store's revision up to which all changes are included. */
     val revision: Long get() = position.revision
 
-    override val ageMs: Long? get() = age.ageMs
+    override val ageMs: Long? get() = upToDateAtMs?.let { context.clock.nowMs() - it }
 
-    override val storeWasUnavailable: Boolean get() = age.sourceLostStore || availability.wasUnavailable
+    override val storeWasUnavailable: Boolean get() = sourceLostStore || availability.wasUnavailable
 
     /** Whether the last request to the store failed. */
     val disconnected: Boolean get() = availability.lost
@@ -87,7 +85,7 @@
     fun start() {
         lastWatchId++
         source = null
-        if (loaded) loader.start() else loader.start { relaySelector?.firstSource(it) }
+        loader.start()
     }
 
     /** The store was restored; entries that the copy lacks may be written again. */
@@ -99,93 +97,87 @@
     /** The mirrored item at [key]; null when there is none. */
     fun find(key: String): StoreItem? = items.find(key)
 
-    /** Selects a source again when the state relayed by another process is too old. */
+    /** Switches to another source, usually the store, when the state relayed by another process is too old. */
     fun checkAge() {
-        val waiting = source ?: return
-        if (waiting.peer != null && !waiting.outdated && relaySelector?.isTooOld(ageMs) == true) watch()
+        val peer = source?.peer ?: return
+        val selector = relaySelector ?: return
+        val age = ageMs ?: 0
+        if (age > selector.maxAgeMs) {
+            selector.onFailed(peer, "relayed state is too old: $age ms")
+            watch()
+        }
     }
 
-    private fun onLoaded(read: LoadedItems) {
-        position = read.at
-        items.replace(read.items, read.at)
-        age.onLoaded(read.ageMs)
+    private fun onLoaded(
+        read: Map<String, StoreItem>,
+        at: StorePosition,
+    ) {
+        position = at
+        items.replace(read, at)
+        upToDateAtMs = context.clock.nowMs()
         loaded = true
         listener.onBatch(revision)
         watch()
     }
 
-    /** Watches for changes, unless a watch or a load was started since [expectedId] was the last watch. */
-    private fun watch(expectedId: Long = lastWatchId) {
-        if (expectedId != lastWatchId) return
-        val selected = relaySelector?.next(ageMs) ?: SelectedSource(StoreChangeSource(context.store))
+    private fun watch() {
+        val selected = relaySelector?.next(ageMs) ?: StoreChangeSource(context.store)
         val id = ++lastWatchId
         source = selected
-        selected.source.changes(RelayPoll(position, waitMs(selected), selected.outdated)) { result ->
+        selected.changes(position, waitMs(selected)) { result ->
             if (id == lastWatchId) {
                 source = null
                 result.onSuccess { onChanges(selected, it) }.onFailure { onWatchError(selected, it) }
             }
         }
-        val timeoutMs = selected.timeoutMs ?: return
-        context.scheduler.after(timeoutMs) {
-            if (id == lastWatchId && source === selected) {
-                relaySelector?.onNoResponse()
-                watch()
-            }
-        }
     }
 
-    private fun waitMs(from: SelectedSource) =
+    private fun waitMs(from: ChangeSource) =
         when {
-            from.outdated -> from.waitMs
             from.peer != null -> timing.relayWaitMs
-            relaySelector?.isTooOld(ageMs) == true -> 0
             disconnected -> RECOVERY_WATCH_WAIT_MS
+            relaySelector?.isTooOld(ageMs) == true -> 0
             else -> timing.waitMs
         }
 
     private fun onChanges(
-        from: SelectedSource,
+        from: ChangeSource,
         received: ChangeBatch,
     ) {
-        val id = lastWatchId
         val peer = from.peer
         if (peer != null && received.era != position.era) {
-            context.events.log("relay.other_era", "source" to peer, "era" to received.era, "position" to position)
-            onWatchError(from, StoreError.HistoryGone)
+            relaySelector?.onFailed(peer, "its state is of era ${received.era}, not ${position.era}")
+            watch()
             return
         }
-        if (peer == null) availability.onAnswer() else relaySelector?.onAnswered()
-        // Leases may have expired while no source had a recent state, whatever the first one that has it knows.
-        val outdated = relaySelector?.isTooOld(ageMs) == true
-        if (outdated && age.sourceLostStore && !received.storeWasUnavailable) availability.onRestored()
-        age.onConfirmed(received)
+        if (peer == null) availability.onAnswer()
+        sourceLostStore = received.storeWasUnavailable
+        upToDateAtMs = context.clock.nowMs() - received.ageMs
         val batch = received.changes
         batch.changes.forEach(items::apply)
         position = position.copy(revision = maxOf(revision, batch.at))
         if (batch.changes.isNotEmpty()) listener.onBatch(revision)
-        onConfirmed()
-        context.scheduler.after(if (batch.changes.isEmpty()) 0 else timing.batchMs) { watch(id) }
+        context.scheduler.after(if (batch.changes.isEmpty()) 0 else timing.batchMs) { watch() }
     }
 
     private fun onWatchError(
-        from: SelectedSource,
+        from: ChangeSource,
         error: StoreError,
     ) {
-        val id = lastWatchId
         val peer = from.peer
-        if (peer != null) {
-            relaySelector?.onFailed(peer, error)
-            val pauseMs = if (relaySelector?.isTooOld(ageMs) == true) PEER_RETRY_MS else 0
-            context.scheduler.after(pauseMs) { watch(id) }
-        } else if (error is StoreError.HistoryGone || error is StoreError.TooLong) {
-            context.events.log("store.history_gone", "position" to position, "cause" to error)
+        if (error is StoreError.HistoryGone || error is StoreError.TooLong) {
+            context.events.log(
+                "store.history_gone",
+                "position" to position,
+                "source" to (peer ?: "store"),
+                "cause" to error,
+            )
             start()
-        } else if (relaySelector?.onStoreFailed(ageMs) == true) {
-            availability.onError(error)
+        } else if (peer != null) {
+            relaySelector?.onFailed(peer, error)
             watch()
         } else {
-            availability.onError(error) { watch(id) }
+            availability.onError(error) { watch() }
         }
     }
 
@@ -195,11 +187,5 @@
          * store did not respond may never be answered.
          */
         const val RECOVERY_WATCH_WAIT_MS = 300L
-
-        /**
-         * Pause after a process that could not be asked while the state is too old, until the next one is asked:
-         * processes that are gone refuse connections at once.
-         */
-        const val PEER_RETRY_MS = 100L
     }
 }
--- a/entry/src/test/kotlin/auburnhall/entry/EvacuationExchangeTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/EvacuationExchangeTest.kt
@@ -37,7 +37,7 @@
     fun `a third of the processes, turned away by the store, learn the begin and the end from the others`() {
         val fleet = settledFleet(relayFrom = 1_000)
         val away = fleet.live.take(PROCESSES / 3)
-        away.forEach { it.cutFromStore = true }
+        away.forEach { it.cut = true }
         fleet.advance(AWAY_MS)
         fleet.evacuate("a")
         fleet.advance(REPORTED_MS)
@@ -46,7 +46,7 @@
         fleet.takeBack("a")
         fleet.advance(REPORTED_MS)
         fleet.assertEvacuated()
-        away.forEach { it.cutFromStore = false }
+        away.forEach { it.cut = false }
         fleet.advance(SETTLE_MS)
         fleet.assertEvacuated()
     }
@@ -61,7 +61,7 @@
         fleet.evacuate("b")
         fleet.advance(BOUND_MS)
         fleet.assertEvacuated("a", "b")
-        fleet.live.forEach { it.cutFromStore = true }
+        fleet.live.forEach { it.cut = true }
         fleet.advance(OUTAGE_MS)
         fleet.assertEvacuated("a", "b")
     }
--- a/entry/src/test/kotlin/auburnhall/entry/InProcessSource.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/InProcessSource.kt
@@ -4,6 +4,7 @@
 import auburnhall.core.Scheduler
 import auburnhall.core.StoreCallback
 import auburnhall.core.StoreError
+import auburnhall.core.StorePosition
 import auburnhall.http.HttpBody
 import auburnhall.http.InboundRequest
 import auburnhall.http.ResponseWriter
@@ -22,11 +23,12 @@
     private val reachable: () -> Boolean,
 ) : ChangeSource {
     override fun changes(
-        poll: RelayPoll,
+        from: StorePosition,
+        waitMs: Long,
         done: StoreCallback<ChangeBatch>,
     ) {
         var completed = false
-        val request = InboundRequest(HttpMethod.GET, poll.uri, newHeaders(), HttpBody.EMPTY, 0)
+        val request = InboundRequest(HttpMethod.GET, RelayPoll(from, waitMs).uri, newHeaders(), HttpBody.EMPTY, 0)
         val response =
             RecordingResponse { status, body ->
                 scheduler.after(1) {
@@ -36,7 +38,7 @@
                     }
                 }
             }
-        scheduler.after(poll.waitMs + PeerChangeSource.RESPONSE_MARGIN_MS) {
+        scheduler.after(waitMs + PeerChangeSource.RESPONSE_MARGIN_MS) {
             if (!completed) {
                 completed = true
                 done(Err(StoreError.NoAnswer(ADDRESS, "silent")))
--- a/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
@@ -46,7 +46,6 @@
 
         /** Whether the store does not answer this process. */
         var cutFromStore by ownStore::cut
-        var watchesOfStore by ownStore::watches
 
         fun start() {
             mirror.relaySelector = RelaySelector(context, this, 2) { peer, _ -> sourceOf(simulated.getValue(peer)) }
@@ -80,17 +79,12 @@
     private inner class CutStore : KeyValueStore by store {
         var cut = false
 
-        var watches = 0
-
         override fun watch(
             prefix: String,
             revision: Long,
             waitMs: Long,
             done: StoreCallback<StoreChanges>,
-        ) {
-            watches++
-            store.watch(prefix, revision, waitMs) { if (!cut) done(it) }
-        }
+        ) = store.watch(prefix, revision, waitMs) { if (!cut) done(it) }
     }
 
     private fun settings(name: String) =
@@ -151,13 +145,14 @@
     @Test
     fun `when the controller is cut from the store, only its children ask the store`() {
         startProcesses(40)
-        simulated.values.forEach { it.watchesOfStore = 0 }
+        events.events.clear()
         simulated.getValue("n00").cutFromStore = true
         repeat(30) {
             time.advance(100)
             assertTrue(simulated.values.filter { it.name != "n00" }.all { (it.mirror.ageMs ?: 0) <= 1_200 })
         }
-        assertEquals(RelayTree.FAN_OUT, simulated.values.count { it.name != "n00" && it.watchesOfStore > 0 })
+        val toStore = events.events.count { it.name == "relay.chosen" && ("source" to "store") in it.details }
+        assertEquals(RelayTree.FAN_OUT, toStore)
     }
 
     @Test
--- a/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
@@ -26,7 +26,6 @@
 import auburnhall.test.FakeScheduler
 import auburnhall.test.FakeStoreClient
 import auburnhall.test.RecordingListener
-import java.util.EnumMap
 import kotlin.random.Random
 
 /** [processes] processes, which relay changes when there are at least [relayFrom]. */
@@ -38,9 +37,6 @@
     val time = FakeScheduler()
     val store = FakeKeyValueStore(time, delayMs = 4, leasesExpire = true)
 
-    /** Number of calls of all processes to the store, by kind. */
-    val calls = EnumMap<StoreCallKind, Int>(StoreCallKind::class.java)
-
     /** What must never happen and did. */
     val violations = ArrayList<String>()
     private val processesByName = LinkedHashMap<String, SimulatedProcess>()
@@ -55,12 +51,9 @@
     init {
         writeConfiguration()
         repeat(WORKERS) { addWorker() }
-        addProcesses(processes)
+        repeat(processes) { start("n%02d".format(it)) }
     }
 
-    /** Starts [count] more processes. */
-    fun addProcesses(count: Int) = repeat(count) { start("n%02d".format(starts)) }
-
     /** Advances the time by [ms] milliseconds and checks what must hold always. */
     fun advance(ms: Long) {
         val until = time.nowMs() + ms
@@ -202,24 +195,11 @@
         private val settings = Settings(name, "z", name, address, address, 1, address, 1_000, true, limits)
         private val random = Random(seed * 1_000 + start)
         val events = RecordingListener()
-        private val countedStore = CountedStore(client) { calls.merge(it, 1, Int::plus) }
-        private val context = ControlContext(settings, countedStore, time, scheduler, random, events)
+        private val context = ControlContext(settings, client, time, scheduler, random, events)
         val plane = ControlPlane(context, UNUSED_WORKERS, this, relayFrom) { peer, _ -> sourceOf(peer) }
         val quarantined = HashSet<String>()
         val leading: Boolean get() = plane.isLeading
-
-        /** Whether the store does not answer it. */
-        var cutFromStore by client::cut
-
-        /** Whether no other process reaches it. */
-        var alone = false
-
-        /** Whether neither the store nor other processes reach it. */
-        var cut = false
-            set(value) {
-                field = value
-                cutFromStore = value
-            }
+        var cut by client::cut
         private val exchange = EvacuationExchange(name, PeerRuntime(time, scheduler, random), ::send, events)
 
         /** The evacuated data centres as of the last state; null before the first, since it does not serve then. */
@@ -229,7 +209,7 @@
         var peers: Map<String, PeerProcess> = emptyMap()
 
         /** Whether other processes reach it and the other way round. */
-        val reachable: Boolean get() = !cut && !alone && !client.ended
+        val reachable: Boolean get() = !cut && !client.ended
 
         private fun sourceOf(peer: String): ChangeSource {
             val parent = processesByName[peer]
--- a/test/src/main/kotlin/auburnhall/test/FakeKeyValueStore.kt
+++ b/test/src/main/kotlin/auburnhall/test/FakeKeyValueStore.kt
@@ -49,17 +49,6 @@
     /** Whether writes are applied but their responses are lost. */
     var dropsResponses = false
 
-    /** Whether watches are not answered until it is false again. */
-    var mutesWatches = false
-        set(value) {
-            field = value
-            if (!value) watches.toList().forEach { it.finishIfOverdue() }
-        }
-
-    /** Reads that may be old are answered from these by turns; from the present state if there are none. */
-    var oldCopies: List<Copy> = emptyList()
-    private var oldReads = 0
-
     /** Number of calls by operation. */
     val calls = HashMap<String, Int>()
 
@@ -91,7 +80,6 @@
     /** Begins a new era with the state of [copy]; its leases begin to run anew. */
     fun restore(copy: Copy) {
         era++
-        oldCopies = emptyList()
         revision = copy.revision
         nextLease = copy.nextLease
         items.clear()
@@ -137,13 +125,10 @@
     override fun range(
         prefix: String,
         afterKey: String?,
-        mayBeOld: Boolean,
         done: StoreCallback<StorePage>,
     ) = answer("range", done) {
-        val old = oldCopies.takeIf { mayBeOld && it.isNotEmpty() }?.let { it[oldReads++ % it.size] }
-        val from = TreeMap(old?.items ?: items)
-        val found = from.tailMap(afterKey ?: "", afterKey == null).filterKeys { it.startsWith(prefix) }.values
-        Ok(StorePage(found.take(PAGE_ITEMS), found.size > PAGE_ITEMS, old?.revision ?: revision))
+        val found = items.tailMap(afterKey ?: "", afterKey == null).filterKeys { it.startsWith(prefix) }.values
+        Ok(StorePage(found.take(PAGE_ITEMS), found.size > PAGE_ITEMS, revision))
     }
 
     override fun watch(
@@ -155,8 +140,8 @@
         count("watch")
         val watch = Watch(prefix, revision, done)
         watches.add(watch)
+        scheduler.after(waitMs) { watch.finish(Ok(StoreChanges(emptyList(), revision))) }
         scheduler.after(delayMs) { watch.finishIfDue() }
-        scheduler.after(maxOf(waitMs, delayMs)) { watch.onWaitOver() }
     }
 
     override fun commit(
@@ -252,20 +237,7 @@
         private val after: Long,
         private val done: StoreCallback<StoreChanges>,
     ) {
-        private var waitOver = false
-
-        fun finishIfOverdue() {
-            finishIfDue()
-            if (waitOver) onWaitOver()
-        }
-
-        fun onWaitOver() {
-            waitOver = true
-            if (!mutesWatches) finish(outage?.let { Err(it) } ?: Ok(StoreChanges(emptyList(), after)))
-        }
-
         fun finishIfDue() {
-            if (mutesWatches) return
             val changes = history.filter { it.first > after && it.second.key.startsWith(prefix) }.map { it.second }
             when {
                 outage != null -> finish(Err(checkNotNull(outage)))
--- a/test/src/main/kotlin/auburnhall/test/FakeStoreClient.kt
+++ b/test/src/main/kotlin/auburnhall/test/FakeStoreClient.kt
@@ -33,9 +33,8 @@
     override fun range(
         prefix: String,
         afterKey: String?,
-        mayBeOld: Boolean,
         done: StoreCallback<StorePage>,
-    ) = call(done) { store.range(prefix, afterKey, mayBeOld, it) }
+    ) = call(done) { store.range(prefix, afterKey, it) }
 
     override fun watch(
         prefix: String,
