Measure how full the targets of requests are when they are sent

Cause: with 122 processes, requests are sent to full targets while others have free slots; nothing counted it, neither in operation nor in a test. Ruled out: the load that a process learns of later, since the reports do not say which requests it includes. Change: each sending counts the known load per slot of its target (auburnhall_send_load_per_slot), and whether it was full or fuller by a quarter of its slots than the least loaded one (auburnhall_full_target_sends_total).

--- a/entry/src/main/kotlin/auburnhall/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryMetrics.kt
@@ -8,6 +8,7 @@
 import auburnhall.http.CloseReason
 import auburnhall.http.StrayKind
 import auburnhall.routing.QuarantinedPart
+import auburnhall.routing.SendObservation
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
@@ -55,6 +56,22 @@
             .classicExponentialUpperBounds(FIRST_BUCKET_S, BUCKET_FACTOR, BUCKET_COUNT)
             .register(registry)
 
+    private val sendLoad =
+        Histogram
+            .builder()
+            .name("auburnhall_send_load_per_slot")
+            .help("Known load per slot of the target of each request when it was sent.")
+            .classicOnly()
+            .classicUpperBounds(*LOAD_BUCKETS)
+            .register(registry)
+    private val fullTargetSends =
+        Counter
+            .builder()
+            .name("auburnhall_full_target_sends_total")
+            .help("Requests sent to a target known to be full, or much fuller than the least loaded one, by reason.")
+            .labelNames("reason")
+            .register(registry)
+
     override fun onRequestEnded(
         kind: String,
         outcome: String,
@@ -66,6 +83,12 @@
 
     override fun onRetry(reason: String) = retries.labelValues(reason).inc()
 
+    override fun onSent(observation: SendObservation) {
+        sendLoad.observe(observation.loadPerSlot)
+        if (observation.full) fullTargetSends.labelValues("full").inc()
+        if (observation.uneven) fullTargetSends.labelValues("uneven").inc()
+    }
+
     /** Bytes of a worker belonged to no response that was awaited. */
     fun onStrayBytes(kind: StrayKind) = strayBytes.labelValues(kind.name.lowercase()).inc()
 
@@ -117,5 +140,8 @@
         const val FIRST_BUCKET_S = 0.01
         const val BUCKET_FACTOR = 2.0
         const val BUCKET_COUNT = 11
+
+        /** Upper bounds in requests per slot; a target is full from 1 on. */
+        val LOAD_BUCKETS = doubleArrayOf(0.25, 0.5, 0.75, 0.9, 0.999, 1.1, 1.25, 1.5, 2.0)
     }
 }
--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -12,6 +12,7 @@
 import auburnhall.http.OutboundRequest
 import auburnhall.http.ResponseListener
 import auburnhall.http.endToEnd
+import auburnhall.routing.SendObservation
 import auburnhall.routing.Target
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpHeaders
@@ -125,6 +126,7 @@
         get() = events.hasPartialEvent || (framing == Framing.CLOSE && !hasEvents && !onlyChecksEnd)
 
     fun send() {
+        observe()
         context.load.begin(target.key, unreadTokens)
         context.limits.onSent(target)
         val metadata =
@@ -151,6 +153,11 @@
         call = context.client.send(target.worker.address, request, callOptions, this)
     }
 
+    private fun observe() {
+        val pool = context.state.targets.of(accepted.service, accepted.metadata.model)
+        context.metrics.onSent(SendObservation.of(context.load, target, pool))
+    }
+
     /** Cancels the call; the listener is not called any more. */
     fun cancel() {
         call?.cancel()
