--- a/core/src/main/kotlin/auburnhall/core/Configuration.kt
+++ b/core/src/main/kotlin/auburnhall/core/Configuration.kt
@@ -84,6 +84,16 @@
     val stepsPerPass: Int,
     /** Prompt tokens read per second. */
     val promptTokensPerSecond: Double,
+    /** Number of models whose weights a host keeps; staging one more replaces the oldest. */
+    val retainedModels: Int = 1,
+)
+
+/** How the workers of a service bear requests after their start. */
+data class ColdStart(
+    /** Time, in milliseconds, for which a worker is cold after its start. */
+    val durationMs: Long,
+    /** Requests per second, from all processes together, that a cold worker bears. */
+    val requestsPerSecond: Double,
 )
 
 /** A service and the limits of its workers; [engine] is null for a plain service, which serves no models. */
@@ -92,6 +102,8 @@
     /** Connections that one worker accepts from all clients together. */
     val maxConnections: Int,
     val engine: EngineProfile?,
+    /** Null for a service without cold workers. */
+    val coldStart: ColdStart? = null,
 )
 
 /** A customer (a team, in the operators' terms) and the API keys that identify it. */
--- a/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
+++ b/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
@@ -6,11 +6,16 @@
 
 import com.github.michaelbull.result.Result
 
-/** A state of the store: [revision] rises with each change, but only within an [era], see [KeyValueStore]. */
+/**
+ * A state of the store: [revision] rises with each change, but only within an [era], see [KeyValueStore]. The position
+ * of a later era is always the greater one.
+ */
 data class StorePosition(
     val era: Long,
     val revision: Long,
-)
+) : Comparable<StorePosition> {
+    override fun compareTo(other: StorePosition) = compareValuesBy(this, other, { it.era }, { it.revision })
+}
 
 /** One item of the store. */
 class StoreItem(
@@ -117,10 +122,14 @@
     /** Called when a response shows that another era has begun, before the callback of its call. */
     var onNewEra: () -> Unit
 
-    /** Reads a page of items whose keys begin with [prefix], starting after [afterKey]; null for the first page. */
+    /**
+     * Reads a page of items whose keys begin with [prefix], starting after [afterKey]; null for the first page. If it
+     * [mayBeOld], the page costs a tenth and may lack the changes of the last seconds; each page shows another moment.
+     */
     fun range(
         prefix: String,
         afterKey: String?,
+        mayBeOld: Boolean = false,
         done: StoreCallback<StorePage>,
     )
 
--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -46,11 +46,14 @@
     LeadershipListener,
     ProcessDirectory {
     private val mirror: StoreMirror = StoreMirror(context, this, ControlTiming())
+    private val selector = RelaySelector(context, this, relayMinProcesses, connect)
     private val view =
-        StoreView(context.settings.processName, context.events, listener, context.clock) { mirror.storeWasUnavailable }
+        StoreView(context.settings.processName, context.events, listener, context.clock, MirroredEvacuations()) {
+            mirror.storeWasUnavailable
+        }
 
     /** Relays the store's changes to other processes. */
-    val relay = RelayServer(context.clock, context.scheduler, mirror)
+    val relay = RelayServer(context.clock, context.scheduler, mirror, context.settings.dataCentre)
     private val registration = ProcessRegistration(context)
     private val leadership: Leadership = Leadership(context, this, MirroredElection())
 
@@ -74,7 +77,8 @@
     override val processes: Map<String, PeerProcess> get() = view.peers
 
     init {
-        mirror.relaySelector = RelaySelector(context, this, relayMinProcesses, connect)
+        mirror.relaySelector = selector
+        mirror.onConfirmed = relay::onConfirmed
         context.store.onNewEra = {
             context.events.log("store.restored", "era" to context.store.era, "mirrored" to mirror.position)
             leadership.onNewEra()
@@ -148,6 +152,12 @@
         override val processes: Int get() = view.peers.size + 1
     }
 
+    private inner class MirroredEvacuations : EvacuationSource {
+        override val era: Long get() = mirror.position.era
+
+        override val readAtMs: Long? get() = mirror.ageMs?.let { context.clock.nowMs() - it }
+    }
+
     private fun tick() {
         val now = context.clock.nowMs()
         if (now - tickDueAtMs >= STALL_THRESHOLD_MS) replicas.onStall(now - tickDueAtMs)
@@ -165,11 +175,19 @@
 
     private inner class ControlTiming : MirrorTiming {
         override val batchMs: Long
-            get() = if (leadership.isLeading || relay.hasClients) RELAY_BATCH_MS else FOLLOWER_BATCH_MS
+            get() =
+                if (leadership.isLeading || relay.hasClients || controller == null) {
+                    RELAY_BATCH_MS
+                } else {
+                    followerBatchMs
+                }
+
+        private val followerBatchMs =
+            minOf(FOLLOWER_BATCH_MS, (context.settings.bounds.evacuateMs ?: Long.MAX_VALUE) / BATCHES_PER_EVACUATION)
 
         override val waitMs: Long get() = if (relay.hasClients) RELAY_WATCH_WAIT_MS else MAX_WATCH_WAIT_MS
 
-        override val relayWaitMs: Long get() = RELAY_WAIT_SUM_MS / RelayTree.levels(view.peers.size + 1)
+        override val relayWaitMs: Long get() = RELAY_WAIT_SUM_MS / selector.levels
     }
 
     private companion object {
@@ -183,7 +201,8 @@
 
         /**
          * Batching interval of the controller and of processes that relay changes; short, since replica control and the
-         * child processes in the relay tree wait for what workers report.
+         * child processes in the relay tree wait for what workers report. Also that of a process that knows of no
+         * controller: it would otherwise claim the key up to 0.6 s after another process has taken it.
          */
         const val RELAY_BATCH_MS = 100L
 
@@ -193,6 +212,9 @@
          */
         const val FOLLOWER_BATCH_MS = 600L
 
+        /** Batching intervals within the time in which an evacuation is to be in force. */
+        const val BATCHES_PER_EVACUATION = 8L
+
         /**
          * Sum of the longest waits for changes over all levels of the relay tree: the ages of the levels add up and
          * must stay below [RelayServer.MAX_AGE_MS], also on slow machines.
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -11,8 +11,8 @@
 import auburnhall.core.Fleet
 import auburnhall.core.Replica
 import auburnhall.core.Settings
+import auburnhall.core.StoredEvacuations
 import auburnhall.core.log
-import auburnhall.gateway.GatewayState
 import auburnhall.http.BufferedHttpClient
 import auburnhall.http.EventLoopScheduler
 import auburnhall.http.HttpClient
@@ -51,23 +51,31 @@
 
     /** Binds the ports and starts the control and traffic threads' timers; call once. */
     fun start() {
-        log.start()
         log.log("process.started", "data_centre" to settings.dataCentre, "first_start" to settings.firstStart)
         metrics.gauge(
             "auburnhall_leading",
             "1 while this process is the elected controller of the replicas, 0 otherwise.",
         ) { if (plane.isLeading) 1 else 0 }
         metrics.gauge("auburnhall_log_dropped_total", "Log lines that were dropped.") { log.droppedLines }
+        metrics.models { plane.replicas.status }
         metrics.quarantinedParts(clock) { traffic.verdicts.quarantined }
         traffic.start()
         traffic.scheduler.run {
+            traffic.onEvacuated = { dataCentres -> control.run { plane.replicas.evacuated = dataCentres } }
             traffic.peerMessenger.parts.onQuarantined = { parts -> control.run { plane.quarantine.onSnapshot(parts) } }
         }
+        control.run { plane.start() }
         endpoints.serveReadiness(traffic.loop, settings.readinessListenAddress)
         endpoints.serveMetrics(controlLoop, Address(settings.host, options.metricsPort))
         serveRelay()
-        control.run { plane.start() }
         traffic.scheduler.run { publishDemand() }
+        control.after(DEFERRED_START_MS) { Thread(::startDeferred, "deferred").start() }
+    }
+
+    /** Loads what no request needs. */
+    private fun startDeferred() {
+        log.start()
+        metrics.prepare()
     }
 
     /** Reads the settings file again; [trigger] is logged when the settings changed or cannot be read. */
@@ -83,6 +91,7 @@
 
     /** Begins a graceful shutdown; the process exits when it is complete. */
     fun stop() {
+        log.start()
         control.run { plane.stop() }
         traffic.scheduler.run { shutdown.begin() }
     }
@@ -91,7 +100,7 @@
         val client = HttpClient(controlLoop, clock)
         ConnectionObserver(log, metrics).observe(client)
         val bufferedClient = BufferedHttpClient(client, control)
-        val store = HttpStore(client, bufferedClient) { settings.storeAddress }
+        val store = CountedStore(HttpStore(client, bufferedClient) { settings.storeAddress }, metrics::onStoreCall)
         val context = ControlContext(settings, store, clock, control, random, log)
         return ControlPlane(context, WorkerClient(bufferedClient), bridge, options.relayMinProcesses) { name, address ->
             PeerChangeSource(name, address, bufferedClient)
@@ -119,6 +128,9 @@
     private companion object {
         const val LOG_FLUSH_TIMEOUT_MS = 100L
 
+        /** On a quarter of a core, a process has served its first request before. */
+        const val DEFERRED_START_MS = 1_500L
+
         /** Interval at which the controller process passes the demand for the models to its replica controllers. */
         const val DEMAND_PERIOD_MS = 500L
     }
@@ -132,13 +144,13 @@
         configuration: Configuration,
         fleet: Fleet,
         replicas: Map<String, List<Replica>>,
+        evacuated: StoredEvacuations,
     ) {
-        val state = GatewayState(configuration, TargetTable(fleet, configuration.services.values, replicas))
-        traffic.scheduler.run { traffic.gateway.update(state) }
+        val targets = TargetTable(fleet, configuration.services.values, replicas)
+        traffic.scheduler.run { traffic.update(configuration, fleet, targets, evacuated) }
     }
 
-    override fun onPeers(peers: Map<String, PeerProcess>) =
-        traffic.scheduler.run { traffic.peerMessenger.onPeers(peers) }
+    override fun onPeers(peers: Map<String, PeerProcess>) = traffic.scheduler.run { traffic.onPeers(peers) }
 
     override fun onQuarantined(part: QuarantinedPart) = traffic.scheduler.run { traffic.verdicts.adopt(part, "store") }
 
@@ -150,6 +162,8 @@
 
     override fun onTeardown(key: ReplicaEpoch) = reportStatus(key, ReplicaStatus.TEARDOWN)
 
+    override fun onClosing(key: ReplicaEpoch) = reportStatus(key, ReplicaStatus.CLOSING)
+
     private fun reportStatus(
         key: ReplicaEpoch,
         replicaStatus: ReplicaStatus,
--- a/entry/src/main/kotlin/auburnhall/entry/PeerChangeSource.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerChangeSource.kt
@@ -9,7 +9,6 @@
 import auburnhall.core.StoreChanges
 import auburnhall.core.StoreError
 import auburnhall.core.StoreItem
-import auburnhall.core.StorePosition
 import auburnhall.http.BufferedHttpClient
 import auburnhall.http.BufferedResult
 import auburnhall.http.HttpBody
@@ -57,15 +56,29 @@
     val changes: List<RelayedChange> = emptyList(),
     /** The era of the store in which [at] was reached. */
     val era: Long = 0,
+    /** A compressed batch that replaces this one; only in responses to processes that understand it. */
+    val compressed: ByteArray? = null,
 ) {
     /** The response body. */
     @OptIn(ExperimentalSerializationApi::class)
     fun encode(): ByteArray = ProtoBuf.encodeToByteArray(serializer(), this)
 
+    /** The response body, compressed if it is long; the outer batch then changes nothing by itself. */
+    fun encodeCompressed(): ByteArray {
+        val plain = encode()
+        if (plain.size < BatchCompression.MIN_BYTES) return plain
+        return RelayedChanges(at = 0, ageMs, compressed = BatchCompression.deflate(plain)).encode()
+    }
+
     companion object {
-        /** Decodes the output of [encode]; throws [SerializationException] for other bytes. */
+        /** Decodes a response body; throws [SerializationException] for other bytes. */
+        fun decode(bytes: ByteArray): RelayedChanges {
+            val read = decodePlain(bytes)
+            return read.compressed?.let { decodePlain(BatchCompression.inflate(it)) } ?: read
+        }
+
         @OptIn(ExperimentalSerializationApi::class)
-        fun decode(bytes: ByteArray): RelayedChanges = ProtoBuf.decodeFromByteArray(serializer(), bytes)
+        private fun decodePlain(bytes: ByteArray): RelayedChanges = ProtoBuf.decodeFromByteArray(serializer(), bytes)
     }
 }
 
@@ -76,12 +89,11 @@
     private val client: BufferedHttpClient,
 ) : ChangeSource {
     override fun changes(
-        from: StorePosition,
-        waitMs: Long,
+        poll: RelayPoll,
         done: StoreCallback<ChangeBatch>,
     ) {
-        val request = OutboundRequest(HttpMethod.GET, RelayPoll(from, waitMs).uri, newHeaders(), HttpBody.EMPTY)
-        client.call(address, request, waitMs + RESPONSE_MARGIN_MS) { result ->
+        val request = OutboundRequest(HttpMethod.GET, poll.uri, newHeaders(), HttpBody.EMPTY)
+        client.call(address, request, poll.waitMs + RESPONSE_MARGIN_MS) { result ->
             when (result) {
                 is BufferedResult.Failed -> done(Err(StoreError.NoAnswer(address, result.cause)))
                 is BufferedResult.Completed -> done(read(address, result.status, result.body))
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
@@ -23,6 +23,7 @@
 private const val DATA_CENTRE = 8
 private const val PART_REPORT = 9
 private const val LIMITS = 10
+private const val EVACUATIONS = 11
 private const val WAITING = 12
 private const val LEASES = 13
 private const val RESERVED = 14
@@ -30,6 +31,8 @@
 private const val LEASES_UNUSED = 16
 private const val GRANTS_LEASES = 17
 
+private const val COLDNESS = 30
+
 /** Status of a replica as one process reports it. */
 enum class ReplicaStatus {
     /** None of its streams advances; it may have lost a member. */
@@ -43,6 +46,9 @@
 
     /** It has a slow member and there is no spare worker to replace it. */
     SLOW,
+
+    /** It ends the requests that it has and must get no more. */
+    CLOSING,
 }
 
 /** Which processes a load report covers. */
@@ -58,8 +64,8 @@
 }
 
 /**
- * One datagram: a [partReport], [limits], [leases], the status of a replica where [replica] is set, or else a load
- * report.
+ * One datagram: a [partReport], [limits], [evacuations], [coldness], [leases], the status of a replica where [replica]
+ * is set, or else a load report.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -91,6 +97,10 @@
     @ProtoNumber(LEASES_UNUSED) @ProtoPacked val leasesUnused: List<Int> = emptyList(),
     /** Whether the sender of a total grants leases. */
     @ProtoNumber(GRANTS_LEASES) val grantsLeases: Boolean = false,
+    /** Evacuations of data centres, begun or ended; empty in the other messages. */
+    @ProtoNumber(EVACUATIONS) val evacuations: List<ReportedEvacuation> = emptyList(),
+    /** Workers that have stated that they are cold; empty in the other messages. */
+    @ProtoNumber(COLDNESS) val coldness: List<ReportedColdness> = emptyList(),
 ) {
     /** The loads of a load report, by target hash. */
     fun loads(): LoadsByHash =
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
@@ -1,7 +1,7 @@
 /*
- * Messages between the processes: load reports, reports about parts of prompts, limits of workers, and changes in the
- * status of replicas, such as a suspected failure, so that all processes route around a failing replica and not only
- * the one that noticed.
+ * Messages between the processes: load reports, reports about parts of prompts, limits of workers, evacuations, and
+ * changes in the status of replicas, such as a suspected failure, so that all processes route around a failing replica
+ * and not only the one that noticed.
  */
 package auburnhall.entry
 
@@ -48,6 +48,9 @@
     /** Exchanges reports about parts of prompts. */
     val parts = PartExchange(process, runtime, guards.parts, channel)
     private val limits = LimitExchange(process, runtime, guards.limits, channel, events)
+
+    /** Exchanges the evacuations of data centres. */
+    val evacuations = EvacuationExchange(process, runtime, channel, events)
     private var peers: Set<String> = emptySet()
 
     /** Number of processes, this one included. */
@@ -62,6 +65,7 @@
         loads.start()
         parts.start()
         limits.start()
+        evacuations.start()
         return bound
     }
 
@@ -72,6 +76,7 @@
         loads.onPeers(known)
         parts.onPeers(peers.toSet())
         limits.onPeers(peers.toSet())
+        evacuations.onPeers(peers.toSet())
     }
 
     /** Reports the status of the replica of [key] to all processes, this one included. */
@@ -89,6 +94,8 @@
         when {
             partReport != null -> parts.onReport(message.process, partReport)
             message.limits.isNotEmpty() -> limits.onReport(message.limits)
+            message.evacuations.isNotEmpty() -> evacuations.onReport(message.process, message.evacuations)
+            message.coldness.isNotEmpty() -> limits.onColdness(message.coldness)
             message.leases.isNotEmpty() -> loads.onLeases(message)
             replica != null -> onStatus(TargetKey(replica), message.replicaStatus)
             else -> loads.onMessage(message)
@@ -109,6 +116,7 @@
                 routing.health.markLost(key)
                 routing.onLost()
             }
+            ReplicaStatus.CLOSING -> routing.health.closing.mark(key)
             ReplicaStatus.SLOW -> routing.health.slow.mark(key)
             ReplicaStatus.SUSPECT -> {
                 routing.health.markSuspect(key)
--- a/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
@@ -5,9 +5,12 @@
 
 import auburnhall.core.CallerLimits
 import auburnhall.core.Clock
+import auburnhall.core.Configuration
 import auburnhall.core.EventListener
+import auburnhall.core.Fleet
 import auburnhall.core.Replica
 import auburnhall.core.Settings
+import auburnhall.core.StoredEvacuations
 import auburnhall.core.log
 import auburnhall.gateway.FilterChain
 import auburnhall.gateway.Gateway
@@ -17,6 +20,7 @@
 import auburnhall.gateway.GatewayObservers
 import auburnhall.gateway.GatewayRouting
 import auburnhall.gateway.GatewayRuntime
+import auburnhall.gateway.GatewayState
 import auburnhall.gateway.RetryBudgets
 import auburnhall.http.EventLoopScheduler
 import auburnhall.http.HttpClient
@@ -25,7 +29,10 @@
 import auburnhall.platform.PlatformCallerCodec
 import auburnhall.platform.PlatformWorkerCodec
 import auburnhall.routing.AdmissionPolicy
+import auburnhall.routing.ColdBound
+import auburnhall.routing.ColdWorkers
 import auburnhall.routing.DemandShare
+import auburnhall.routing.EvenShare
 import auburnhall.routing.LoadTracker
 import auburnhall.routing.PartGuard
 import auburnhall.routing.PartGuardRuntime
@@ -34,6 +41,7 @@
 import auburnhall.routing.RetryBounds
 import auburnhall.routing.Router
 import auburnhall.routing.TargetHealth
+import auburnhall.routing.TargetTable
 import auburnhall.routing.UnreportedRequests
 import auburnhall.routing.WorkerLimits
 import auburnhall.routing.WorkerNotices
@@ -63,7 +71,15 @@
     val verdicts = PartVerdicts(PartGuardRuntime(clock, scheduler, random::nextDouble), listener)
     private val share =
         DemandShare(clock, load, { peerMessenger.processes }) { context.state.targets.of(it.worker.service, it.model) }
-    private val limits = WorkerLimits(clock, share) { peerMessenger.phase }
+    private val evenShare = EvenShare(settings().processName, clock)
+    private val coldWorkers =
+        ColdWorkers(
+            clock,
+            evenShare,
+            { settings().bounds.let { ColdBound(it.coldOverage, it.coldSlack) } },
+            listener,
+        )
+    private val limits = WorkerLimits(clock, share, coldWorkers) { peerMessenger.phase }
     private val guards = GatewayGuards(PartGuard(clock, verdicts, listener), limits, WorkerNotices(clock, listener))
     private val client = HttpClient(loop, clock)
     private val context: GatewayContext =
@@ -103,6 +119,9 @@
     /** Serves callers' requests. */
     val gateway: Gateway = Gateway(context, FilterChain({ context.state.configuration }, random) { gateway.stop })
 
+    /** Called on the traffic thread with the evacuated data centres when they have changed. */
+    var onEvacuated: (Set<String>) -> Unit = { }
+
     /** The server that callers connect to. */
     val callers = HttpServer(loop, clock, ::limits, gateway)
 
@@ -110,6 +129,11 @@
     val configured: Boolean get() = context.state.configuration != null
 
     init {
+        peerMessenger.evacuations.onChange = { dataCentres ->
+            coldWorkers.onEvacuationEnded(context.state.targets.evacuated - dataCentres)
+            gateway.update(context.state.without(dataCentres))
+            onEvacuated(dataCentres)
+        }
         callers.onMemoryRefusal = {
             listener.log("request.no_memory", "peer" to it.peer, "held_bytes" to it.heldBytes, "limit" to it.limitBytes)
         }
@@ -129,11 +153,20 @@
             "Leases on slots of targets used since the start.",
         ) { load.leases.usedCount }
         metrics.gauge("auburnhall_limited_workers", "Workers that name a limit for requests.") { limits.count }
+        metrics.gauge("auburnhall_cold_workers", "Workers that are cold.") { coldWorkers.count }
         metrics.gauge("auburnhall_worker_connections", "Open connections to workers.") { client.openConnections }
         metrics.gauge(
             "auburnhall_worker_connects_total",
             "Connections to workers established since the start.",
         ) { client.connects }
+        metrics.gauge(
+            "auburnhall_evacuated_data_centres",
+            "Data centres to whose workers nothing is sent.",
+        ) { context.state.targets.evacuated.size }
+        metrics.gauge(
+            "auburnhall_requests_in_evacuated",
+            "Requests of this process in progress in evacuated data centres.",
+        ) { gateway.requestsInEvacuated }
         metrics.gauge(
             "auburnhall_queued_requests",
             "Requests waiting in the admission queue.",
@@ -146,6 +179,27 @@
         scheduler.run { peerMessenger.start(settings().host) }
     }
 
+    /**
+     * Serves requests by [configuration] and [targets], the workers of [fleet], less what is evacuated; [evacuated] is
+     * what the store says.
+     */
+    fun update(
+        configuration: Configuration,
+        fleet: Fleet,
+        targets: TargetTable,
+        evacuated: StoredEvacuations,
+    ) {
+        peerMessenger.evacuations.onStored(evacuated)
+        coldWorkers.onFleet(fleet, configuration.services.values)
+        gateway.update(GatewayState(configuration, targets.without(peerMessenger.evacuations.dataCentres)))
+    }
+
+    /** The other processes are [peers]. */
+    fun onPeers(peers: Map<String, PeerProcess>) {
+        evenShare.onPeers(peers.keys)
+        peerMessenger.onPeers(peers)
+    }
+
     private fun retryBounds(): RetryBounds =
         settings().bounds.let { RetryBounds(it.retryRatio, it.retryWindowMs, it.extraRetries) }
 
--- a/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
@@ -5,16 +5,20 @@
 import auburnhall.core.OperatorLimits
 import auburnhall.core.Settings
 import auburnhall.core.StoreCallback
+import auburnhall.core.StoreChange
 import auburnhall.core.StoreChanges
 import auburnhall.core.StoreError
 import auburnhall.core.StoreItem
+import auburnhall.core.StorePosition
 import auburnhall.test.FakeKeyValueStore
 import auburnhall.test.FakeScheduler
 import auburnhall.test.RecordingListener
+import kotlinx.serialization.SerializationException
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertNull
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import org.junit.jupiter.api.assertThrows
 import kotlin.random.Random
 
 /** Relays the store's changes between simulated processes on one thread. */
@@ -36,16 +40,17 @@
         private val ownStore = CutStore()
         private val context = ControlContext(settings, ownStore, time, time, Random(1), events)
         val mirror: StoreMirror = StoreMirror(context, this, this)
-        val server = RelayServer(time, time, mirror)
+        val server = RelayServer(time, time, mirror, "z")
         override var controller: String? = "n00"
         override val processes: Map<String, PeerProcess> get() = simulated.keys.associateWith { PeerProcess(it, "z") }
 
         override val batchMs = 0L
         override val waitMs: Long get() = if (server.hasClients) 200L else 3_000L
-        override val relayWaitMs: Long get() = 600L / RelayTree.levels(processes.size + 1)
+        override val relayWaitMs: Long get() = 600L / RelayTree("n00", processes.keys.associateWith { "z" }).levels
 
         /** Whether the store does not answer this process. */
         var cutFromStore by ownStore::cut
+        var watchesOfStore by ownStore::watches
 
         fun start() {
             mirror.relaySelector = RelaySelector(context, this, 2) { peer, _ -> sourceOf(simulated.getValue(peer)) }
@@ -79,12 +84,17 @@
     private inner class CutStore : KeyValueStore by store {
         var cut = false
 
+        var watches = 0
+
         override fun watch(
             prefix: String,
             revision: Long,
             waitMs: Long,
             done: StoreCallback<StoreChanges>,
-        ) = store.watch(prefix, revision, waitMs) { if (!cut) done(it) }
+        ) {
+            watches++
+            store.watch(prefix, revision, waitMs) { if (!cut) done(it) }
+        }
     }
 
     private fun settings(name: String) =
@@ -101,7 +111,8 @@
     @Test
     fun `every process but the root has one parent, at most FAN_OUT children, and a path to the root`() {
         val names = (0 until 300).map { "n$it" }
-        val parents = names.associateWith { RelayTree.parents(it, "n7", names).firstOrNull() }
+        val tree = RelayTree("n7", names.associateWith { "z" })
+        val parents = names.associateWith { tree.parents(it).firstOrNull() }
         assertNull(parents["n7"])
         assertEquals(1, parents.values.count { it == null })
         val childCounts =
@@ -145,14 +156,13 @@
     @Test
     fun `when the controller is cut from the store, only its children ask the store`() {
         startProcesses(40)
-        events.events.clear()
+        simulated.values.forEach { it.watchesOfStore = 0 }
         simulated.getValue("n00").cutFromStore = true
         repeat(30) {
             time.advance(100)
             assertTrue(simulated.values.filter { it.name != "n00" }.all { (it.mirror.ageMs ?: 0) <= 1_200 })
         }
-        val toStore = events.events.count { it.name == "relay.chosen" && ("source" to "store") in it.details }
-        assertEquals(RelayTree.FAN_OUT, toStore)
+        assertEquals(RelayTree.FAN_OUT, simulated.values.count { it.name != "n00" && it.watchesOfStore > 0 })
     }
 
     @Test
@@ -218,6 +228,48 @@
         assertTrue(decoded.storeWasUnavailable)
     }
 
+    /** Guards against a process of another version that cannot read a poll or a batch. */
+    @Test
+    fun `batches are compressed only for polls that say they come from another data centre`() {
+        startProcesses(1)
+        val controller = simulated.getValue("n00")
+        val from = controller.mirror.position
+        store.put("op/config", "x".repeat(20_000))
+        time.advance(100)
+        val lengths =
+            listOf(null, "z", "z ,1").map { place ->
+                var length = 0
+                val source = InProcessSource("n00", controller.server, time, { length = it }) { true }
+                source.changes(RelayPoll(from, 0, dataCentre = place)) { result ->
+                    assertEquals(
+                        20_000,
+                        (
+                            result.value.changes.changes
+                                .single() as StoreChange.Put
+                        ).item.value.size,
+                    )
+                }
+                time.advance(10)
+                length
+            }
+        assertTrue(lengths[0] > 20_000 && lengths[1] > 20_000 && lengths[2] in 1..1_000, "$lengths")
+    }
+
+    @Test
+    fun `polls are read as this version and the one before write them`() {
+        val old = checkNotNull(RelayPoll.parse("/changes?7,200,3", defaultEra = 1))
+        assertEquals(StorePosition(3, 7) to 200L, old.from to old.waitMs)
+        assertEquals(false to null, old.outdated to old.dataCentre)
+        val sent = RelayPoll(StorePosition(3, 7), 200, outdated = true, "z ,1")
+        val read = checkNotNull(RelayPoll.parse(sent.uri, defaultEra = 1))
+        assertEquals(true to "z ,1", read.outdated to read.dataCentre)
+        assertThrows<SerializationException> {
+            RelayedChanges.decode(
+                RelayedChanges(7, 0, compressed = EMPTY).encode(),
+            )
+        }
+    }
+
     private companion object {
         val ADDRESS = Address("127.0.0.1", 1)
         val EMPTY = ByteArray(0)
--- a/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
@@ -12,6 +12,7 @@
 import auburnhall.core.ScheduledTask
 import auburnhall.core.Scheduler
 import auburnhall.core.Settings
+import auburnhall.core.StoredEvacuations
 import auburnhall.http.BufferedHttpClient
 import auburnhall.http.EventLoopScheduler
 import auburnhall.http.HttpClient
@@ -25,6 +26,7 @@
 import auburnhall.test.FakeScheduler
 import auburnhall.test.FakeStoreClient
 import auburnhall.test.RecordingListener
+import java.util.EnumMap
 import kotlin.random.Random
 
 /** [processes] processes, which relay changes when there are at least [relayFrom]. */
@@ -32,10 +34,21 @@
     processes: Int,
     private val relayFrom: Int,
     private val seed: Long = 1,
+    private val dataCentres: Int = 1,
 ) {
     val time = FakeScheduler()
     val store = FakeKeyValueStore(time, delayMs = 4, leasesExpire = true)
 
+    /** Number of calls of all processes to the store, by kind. */
+    val calls = EnumMap<StoreCallKind, Int>(StoreCallKind::class.java)
+
+    /** Bytes of the relayed changes that were sent from one data centre to another. */
+    var bytesBetweenDataCentres = 0L
+        private set
+
+    /** Number of routes of the configuration. */
+    var routes = 1
+
     /** What must never happen and did. */
     val violations = ArrayList<String>()
     private val processesByName = LinkedHashMap<String, SimulatedProcess>()
@@ -50,9 +63,12 @@
     init {
         writeConfiguration()
         repeat(WORKERS) { addWorker() }
-        repeat(processes) { start("n%02d".format(it)) }
+        addProcesses(processes)
     }
 
+    /** Starts [count] more processes. */
+    fun addProcesses(count: Int) = repeat(count) { start("n%02d".format(starts)) }
+
     /** Advances the time by [ms] milliseconds and checks what must hold always. */
     fun advance(ms: Long) {
         val until = time.nowMs() + ms
@@ -94,6 +110,10 @@
         workers.indices.forEach { time.after(300L + it * 100) { writeWorker(it) } }
     }
 
+    /** Names of the live processes for which other data centres than [dataCentres] are evacuated. */
+    fun processesThatDoNotEvacuate(vararg dataCentres: String): List<String> =
+        live.filter { it.evacuated != dataCentres.toSet() }.map { it.name }
+
     /** Lets all processes hold that [part] is quarantined. */
     fun quarantine(part: String) {
         val now = time.nowMs()
@@ -156,26 +176,18 @@
     private fun start(name: String) {
         val process = SimulatedProcess(name, starts++)
         processesByName[name] = process
-        process.plane.start()
+        process.start()
     }
 
-    private fun configurationText() =
-        """{"version":$version,"routes":[{"name":"r","host":"h","prefix":"/r/","kind":"idempotent","timeout_ms":1000,
-        "target_latency_ms":100,"priority":1,"service":"s","max_attempts":2,"anonymous":true}],
-        "services":[{"name":"s","max_connections":9}],"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,
-        "header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[]}"""
-
-    private class SimulatedWorker(
-        number: Int,
-    ) {
-        val id = "i-$number"
-        val key = "servers/$id"
-        var draining = false
-        var writes = 0L
-
-        fun text() =
-            """{"service":"s","address":"10.0.0.1:80","zone":"z","slots":4,
-            "state":"${if (draining) "draining" else "in_service"}","sequence":$writes,"born":77}"""
+    private fun configurationText(): String {
+        val texts =
+            (1..routes).joinToString(",") {
+                """{"name":"r$it","host":"h$it","prefix":"/r/","kind":"idempotent","timeout_ms":1000,
+                "target_latency_ms":100,"priority":1,"service":"s","max_attempts":2,"anonymous":true}"""
+            }
+        return """{"version":$version,"routes":[$texts],
+            "services":[{"name":"s","max_connections":9}],"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,
+            "header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[]}"""
     }
 
     /** One process with its real control plane. */
@@ -183,37 +195,83 @@
         val name: String,
         start: Int,
     ) : ControlListener {
+        val dataCentre = "z${start % dataCentres}"
         private val client = FakeStoreClient(store, time)
         private val scheduler = ProcessScheduler()
         private val address = Address("127.0.0.1", 1)
         private val limits = OperatorLimits(8_000, 0.2, 10, 10_000)
-        private val settings = Settings(name, "z", name, address, address, 1, address, 1_000, true, limits)
+        private val settings = Settings(name, dataCentre, name, address, address, 1, address, 1_000, true, limits)
         private val random = Random(seed * 1_000 + start)
-        private val context = ControlContext(settings, client, time, scheduler, random, RecordingListener())
+        val events = RecordingListener()
+        private val countedStore = CountedStore(client) { calls.merge(it, 1, Int::plus) }
+        private val context = ControlContext(settings, countedStore, time, scheduler, random, events)
         val plane = ControlPlane(context, UNUSED_WORKERS, this, relayFrom) { peer, _ -> sourceOf(peer) }
         val quarantined = HashSet<String>()
         val leading: Boolean get() = plane.isLeading
-        var cut by client::cut
+
+        /** Whether the store does not answer it. */
+        var cutFromStore by client::cut
+
+        /** Whether no other process reaches it. */
+        var alone = false
+
+        /** Whether neither the store nor other processes reach it. */
+        var cut = false
+            set(value) {
+                field = value
+                cutFromStore = value
+            }
+        private val exchange = EvacuationExchange(name, PeerRuntime(time, scheduler, random), ::send, events)
+
+        /** The evacuated data centres as of the last state; null before the first, since it does not serve then. */
+        var evacuated: Set<String>? = null
         var configuration: Configuration? = null
         var fleet = Fleet.EMPTY
         var peers: Map<String, PeerProcess> = emptyMap()
 
         /** Whether other processes reach it and the other way round. */
-        val reachable: Boolean get() = !cut && !client.ended
+        val reachable: Boolean get() = !cut && !alone && !client.ended
 
         private fun sourceOf(peer: String): ChangeSource {
             val parent = processesByName[peer]
-            return InProcessSource(peer, parent?.plane?.relay, scheduler) { reachable && parent?.reachable == true }
+            val onBytes = { bytes: Int -> if (parent?.dataCentre != dataCentre) bytesBetweenDataCentres += bytes }
+            return InProcessSource(peer, parent?.plane?.relay, scheduler, onBytes) {
+                reachable && parent?.reachable == true
+            }
+        }
+
+        init {
+            exchange.onChange = { dataCentres ->
+                if (evacuated != null) evacuated = dataCentres
+                plane.replicas.evacuated = dataCentres
+            }
+        }
+
+        fun start() {
+            plane.start()
+            exchange.start()
         }
 
         fun end() {
             client.ended = true
         }
 
+        /** Datagrams pass while the store does not answer; some are lost. */
+        private fun send(
+            message: PeerMessage,
+            names: Collection<String>,
+        ) {
+            val sent = PeerMessage.decode(message.encode())
+            processesByName.values.filter { it.name in names && random.nextDouble() >= DATAGRAM_LOSS }.forEach {
+                it.scheduler.after(2) { it.exchange.onReport(sent.process, sent.evacuations) }
+            }
+        }
+
         override fun onState(
             configuration: Configuration,
             fleet: Fleet,
             replicas: Map<String, List<Replica>>,
+            evacuated: StoredEvacuations,
         ) {
             val before = this.configuration
             if (before != null && configuration.version < before.version) {
@@ -223,10 +281,13 @@
             if (returned.isNotEmpty()) violations.add("${time.nowMs()}: $name uses leaving ${returned.map { it.id }}")
             this.configuration = configuration
             this.fleet = fleet
+            exchange.onStored(evacuated)
+            this.evacuated = exchange.dataCentres
         }
 
         override fun onPeers(peers: Map<String, PeerProcess>) {
             this.peers = peers
+            exchange.onPeers(peers.keys)
         }
 
         override fun onQuarantined(part: QuarantinedPart) {
@@ -243,6 +304,8 @@
 
         override fun onTeardown(key: ReplicaEpoch) = Unit
 
+        override fun onClosing(key: ReplicaEpoch) = Unit
+
         private inner class ProcessScheduler : Scheduler {
             override fun after(
                 delayMs: Long,
@@ -258,6 +321,7 @@
     private companion object {
         const val WORKERS = 6
         const val CHECK_PERIOD_MS = 20L
+        const val DATAGRAM_LOSS = 0.03
 
         /** The configuration has no models, so no orders are sent. */
         val UNUSED_WORKERS =
--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -125,6 +125,9 @@
     private val isBrokenOff: Boolean
         get() = events.hasPartialEvent || (framing == Framing.CLOSE && !hasEvents && !onlyChecksEnd)
 
+    /** Whether the request waits for a connection, so that nothing was sent. */
+    val isConnecting: Boolean get() = call?.isConnecting == true
+
     fun send() {
         val pool = context.state.targets.of(accepted.service, accepted.metadata.model)
         context.metrics.onSent(SendObservation.of(context.load, target, pool))
@@ -184,6 +187,8 @@
         val head = context.codecs.worker.read(status, headers)
         responseHead = head
         context.limits.onResponse(target, head.requestsPerSecond)
+        if (head.misdirected) context.limits.cold?.onNotReceived(target)
+        head.coldRemainingMs?.let { context.limits.cold?.onResponse(target, it) }
         if (head.leaving) context.notices.onLeaving(target)
         head.pauseMs?.let { context.notices.onPause(target, it) }
         val relayed = headers.endToEnd()
--- a/gateway/src/main/kotlin/auburnhall/gateway/InFlightRequests.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/InFlightRequests.kt
@@ -14,6 +14,9 @@
     private val all = LinkedHashSet<ForwardedRequest>()
     private val supervised = LinkedHashSet<ForwardedRequest>()
     private val waiting = WaitingReport(context.load.waiting)
+
+    /** The requests in evacuated data centres. */
+    internal val evacuated = EvacuatedRequests(context) { all }
     private var timer: ScheduledTask? = null
     private var timerAtMs = Long.MAX_VALUE
 
--- a/gateway/src/test/kotlin/auburnhall/gateway/FaultyWorker.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/FaultyWorker.kt
@@ -7,7 +7,10 @@
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
+import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
 
 /** A request that a [FaultyWorker] has received; [earlier] are the ids of those before it on its connection. */
 data class WorkerRequest(
@@ -27,6 +30,7 @@
 ) : AutoCloseable {
     private val server = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
     private val open = CopyOnWriteArrayList<Socket>()
+    private val ending = ConcurrentLinkedQueue<CountDownLatch>()
 
     /** Where it listens. */
     val port: Int get() = server.localPort
@@ -36,12 +40,27 @@
             while (true) {
                 val socket = runCatching { server.accept() }.getOrNull() ?: break
                 open.add(socket)
-                daemon { socket.use { runCatching { serve(it) } }.also { open.remove(socket) } }
+                daemon { run(socket) }
             }
         }
     }
 
-    private fun serve(socket: Socket) {
+    private fun run(socket: Socket) {
+        val closed = CountDownLatch(1)
+        socket.use { runCatching { serve(it, closed) } }
+        open.remove(socket)
+        closed.countDown()
+    }
+
+    /** Waits until the connections are closed that scripts have ended, so that none of them is used again. */
+    fun awaitClosed() {
+        while (true) (ending.poll() ?: return).await(CLOSE_TIMEOUT_S, TimeUnit.SECONDS)
+    }
+
+    private fun serve(
+        socket: Socket,
+        closed: CountDownLatch,
+    ) {
         socket.tcpNoDelay = true
         val input = socket.getInputStream().buffered()
         val earlier = ArrayList<String>()
@@ -53,7 +72,9 @@
                 text.append(next.toChar())
             }
             val request = WorkerRequest(text.toString(), earlier.toList())
-            if (!act(socket, respond(request))) return
+            val script = respond(request)
+            if (script is Script.Close || script is Script.Reset) ending.add(closed)
+            if (!act(socket, script)) return
             earlier.add(request.id)
         }
     }
@@ -71,7 +92,10 @@
                 else -> ""
             }
         socket.getOutputStream().write(text.toByteArray())
-        if (script is Script.Reset) socket.setSoLinger(true, 0)
+        if (script is Script.Reset) {
+            script.received.await(RECEIVE_TIMEOUT_S, TimeUnit.SECONDS)
+            socket.setSoLinger(true, 0)
+        }
         return script is Script.Send || script is Script.NoResponse
     }
 
@@ -84,5 +108,7 @@
 
     private companion object {
         const val BACKLOG = 100
+        const val RECEIVE_TIMEOUT_S = 5L
+        const val CLOSE_TIMEOUT_S = 5L
     }
 }
--- a/process-test/src/test/kotlin/auburnhall/process/FaultyWorker.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/FaultyWorker.kt
@@ -5,7 +5,6 @@
 package auburnhall.process
 
 import auburnhall.standin.StandinPlatform
-import java.io.OutputStream
 import java.net.InetAddress
 import java.net.ServerSocket
 import java.net.Socket
@@ -22,6 +21,7 @@
     private val service: String,
     private val name: String,
     private val faultShare: Double,
+    private val dataCentre: String = StandinPlatform.DATA_CENTRES.first(),
 ) : AutoCloseable {
     private val threads = Executors.newCachedThreadPool { task -> Thread(task).apply { isDaemon = true } }
     private val attempts = ConcurrentHashMap<String, AtomicInteger>()
@@ -44,9 +44,14 @@
     }
 
     /** Says in each answer that it leaves, and reports it. */
+    fun leave() = report { leaving = true }
+
+    /** Becomes cold again, and reports it. */
+    fun makeCold() = report { cold.begin() }
+
     @Synchronized
-    fun leave() {
-        life?.leaving = true
+    private fun report(change: Life.() -> Unit) {
+        life?.change()
         life?.enter()
     }
 
@@ -72,10 +77,14 @@
 
         @Volatile
         var dead = false
+
+        val cold = ColdTime()
         private val sockets = ConcurrentHashMap.newKeySet<Socket>()
         private val listener = ServerSocket(0, BACKLOG, InetAddress.getLoopbackAddress())
 
         init {
+            record.lives.add(id to System.nanoTime())
+            record.dataCentres[id] = dataCentre
             threads.execute {
                 while (!listener.isClosed) {
                     val socket = runCatching { listener.accept() }.getOrNull() ?: break
@@ -91,8 +100,9 @@
         fun enter() {
             val state = if (leaving) "draining" else "in_service"
             val entry =
-                """{"service":"$service","address":"127.0.0.1:${listener.localPort}","zone":"z1","slots":100,
-                    "state":"$state","born":${record.seed + lives}}"""
+                """{"service":"$service","address":"127.0.0.1:${listener.localPort}","zone":"$dataCentre","slots":100,
+                    "state":"$state","born":${record.seed + lives},
+                    "cold_remaining_ms":${cold.remainingMs}}"""
             platform.scheduler.run { platform.store.put(key, entry) }
         }
 
@@ -109,7 +119,7 @@
         private val socket: Socket,
     ) {
         private val input = socket.getInputStream().buffered()
-        private val output: OutputStream = socket.getOutputStream()
+        private val output = socket.getOutputStream()
         private var lateCopy: ByteArray? = null
         private var strayed = false
 
@@ -135,7 +145,7 @@
         }
 
         private fun run(request: SoakRequest): Boolean {
-            checkHeaders(request)
+            record.checkHeaders(request)
             val run = record.begin(request.id, life.id, strayed)
             val attempt = attempts.computeIfAbsent(request.id) { AtomicInteger() }.incrementAndGet()
             val random = Random(record.seed * SEED_FACTOR + request.id.hashCode() + attempt + name.hashCode())
@@ -156,12 +166,6 @@
             return true
         }
 
-        private fun checkHeaders(request: SoakRequest) {
-            val tenant = ScriptedOrders.header(request.head, "tenant")
-            val key = ScriptedOrders.header(request.head, "authorization")
-            if (tenant != "shop" || key != null) record.unasked.add(request.id to "tenant $tenant, key $key")
-        }
-
         fun responseHead(
             status: String,
             id: String,
@@ -170,7 +174,7 @@
             val idLine = if (id.isEmpty()) "" else "Attempt-Id: $id\r\n"
             val leaving = if (life.leaving) "Server-Leaving: 1\r\n" else ""
             return "HTTP/1.1 $status\r\nContent-Type: text/plain\r\n${idLine}Response-Stamp: ${life.id}\r\n" +
-                "$leaving$framing\r\n\r\n"
+                "$leaving${life.cold.header}$framing\r\n\r\n"
         }
 
         fun write(text: String) = output.write(text.toByteArray(Charsets.ISO_8859_1))
@@ -181,9 +185,7 @@
             random: Random,
         ) {
             strayed = true
-            val withId = if (random.nextBoolean()) text else text.replace(Regex("Attempt-Id: .*\r\n"), "")
-            val length = if (random.nextBoolean()) withId.length else random.nextInt(1, withId.length)
-            val copy = withId.take(length).toByteArray(Charsets.ISO_8859_1)
+            val copy = strayCopy(text, random)
             if (random.nextBoolean()) lateCopy = copy else output.write(copy)
         }
 
@@ -282,10 +284,9 @@
                 val part = chunk("id: ${lastSound + 1}\nda")
                 return breakOff { connection.write(if (random.nextBoolean()) part else part.dropLast(3)) }
             }
-            if (chunked) connection.write("0\r\n\r\n")
+            if (chunked) connection.write(END)
             run.end = RunEnd.WHOLE
-            val copy = head + chunk(soakEvent(request.id, 1)) + "0\r\n\r\n"
-            if (conduct == Conduct.COPY) connection.repeatAnswer(copy, random)
+            if (conduct == Conduct.COPY) connection.repeatAnswer("$head${chunk(soakEvent(request.id, 1))}$END", random)
             return chunked
         }
     }
@@ -295,5 +296,6 @@
         const val SEED_FACTOR = 7919
         const val STATUS_LENGTH = 3
         const val OK = 200
+        const val END = "0\r\n\r\n"
     }
 }
--- a/process-test/src/test/kotlin/auburnhall/process/SoakFaults.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakFaults.kt
@@ -21,8 +21,10 @@
     ENTRY_REMOVED,
     WORKER_KILLED,
     WORKER_LEAVES,
+    WORKER_COLD,
     MEMBER_KILLED,
     MEMBER_CRASHED,
+    EVACUATION,
 }
 
 /** Makes the faults of [day], which [random] draws. */
@@ -43,7 +45,9 @@
             FaultKind.FREEZE -> onProcess(kind, ::freeze)
             FaultKind.STORE -> troubleStore()
             FaultKind.ENTRY_REMOVED, FaultKind.WORKER_KILLED, FaultKind.WORKER_LEAVES -> onWorker(kind)
+            FaultKind.WORKER_COLD -> coolWorker()
             FaultKind.MEMBER_KILLED, FaultKind.MEMBER_CRASHED -> onMember(kind)
+            FaultKind.EVACUATION -> evacuate()
         }
     }
 
@@ -119,10 +123,28 @@
         val mode = StoreMode.entries.filter { it != StoreMode.SOUND }.random(random)
         val durationMs = random.nextLong(STORE_MIN_MS, STORE_MAX_MS)
         note(FaultKind.STORE, null, "$mode for $durationMs ms")
+        val fromNanos = System.nanoTime()
         day.store.mode = mode
         day.beside {
             TimeUnit.MILLISECONDS.sleep(durationMs)
             day.store.mode = StoreMode.SOUND
+            day.record.storeTroubles.add(fromNanos to System.nanoTime())
+        }
+    }
+
+    /** Evacuates a data centre for longer than the bound; one at a time, so that the other faults strike requests. */
+    private fun evacuate() {
+        val dataCentre = StandinPlatform.DATA_CENTRES.random(random)
+        val durationMs = random.nextLong(EVACUATION_MIN_MS, EVACUATION_MAX_MS)
+        if (day.record.evacuations.any { it.untilNanos == Long.MAX_VALUE }) return
+        note(FaultKind.EVACUATION, null, "$dataCentre for $durationMs ms")
+        val evacuation = SoakEvacuation(dataCentre)
+        day.record.evacuations.add(evacuation)
+        day.platform.evacuate(dataCentre)
+        day.beside {
+            TimeUnit.MILLISECONDS.sleep(durationMs)
+            evacuation.untilNanos = System.nanoTime()
+            day.platform.endEvacuation(dataCentre)
         }
     }
 
@@ -146,6 +168,12 @@
         }
     }
 
+    private fun coolWorker() {
+        val index = random.nextInt(day.workers.size)
+        note(FaultKind.WORKER_COLD, null, "worker $index")
+        day.workers[index].makeCold()
+    }
+
     private fun onMember(kind: FaultKind) {
         val member =
             day.platform.workers
@@ -170,6 +198,8 @@
         const val FREEZE_MS = 1_000L
         const val STORE_MIN_MS = 1_000L
         const val STORE_MAX_MS = 5_000L
+        const val EVACUATION_MIN_MS = EntryProcessHandle.EVACUATE_MS + 1_000
+        const val EVACUATION_MAX_MS = EntryProcessHandle.EVACUATE_MS + 4_000
         const val ENTRY_MS = 1_000L
         const val WORKER_AWAY_MS = 1_200L
         const val MEMBER_AWAY_MS = 2_500L
@@ -208,12 +238,16 @@
             "services":[{"name":"engine","max_connections":100,"engine":{"slots":8,"models":[
              {"name":"assistant","size":2,"share":1.0,"pace":1.0,"load_s":0.1,"warm_s":0.1}],"report_lag_ms":50,
              "loads_per_s":50,"loads_at_once":50,"form_ms":0,"step_ms":1,"stride":1,"read_per_s":100000}},
-             {"name":"orders","max_connections":100},{"name":"feeds","max_connections":100}],
+             ${plainService("orders")},${plainService("feeds")}],
             "limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,
              "idle_timeout_ms":15000},
             "tenants":[{"name":"shop","api_keys":[$keys],"priority":1}]}"""
     }
 
+    private fun plainService(name: String) =
+        """{"name":"$name","max_connections":100,"cold_start_s":${ColdRate.DURATION_MS / MS_PER_SECOND},
+            "cold_per_s":${ColdRate.PER_SECOND}}"""
+
     private fun route(
         name: String,
         kind: String,
@@ -226,5 +260,6 @@
 
     private companion object {
         const val STREAM_TIMEOUT_MS = 10_000L
+        const val MS_PER_SECOND = 1_000.0
     }
 }
--- a/process-test/src/test/kotlin/auburnhall/process/SoakRecord.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/SoakRecord.kt
@@ -4,6 +4,7 @@
  */
 package auburnhall.process
 
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.TimeUnit
 
@@ -107,6 +108,23 @@
     val atNanos: Long = System.nanoTime()
 }
 
+/** The cold times of the plain workers, and what the settings let a cold worker get in a second. */
+object ColdRate {
+    const val DURATION_MS = 1_500L
+    const val PER_SECOND = 6.0
+    const val BOUND = PER_SECOND * 1.5 + 5
+}
+
+/** An evacuation of [dataCentre], from the write of its key on. */
+class SoakEvacuation(
+    val dataCentre: String,
+) {
+    val fromNanos: Long = System.nanoTime()
+
+    @Volatile
+    var untilNanos = Long.MAX_VALUE
+}
+
 /** Everything that one day saw. */
 class SoakRecord(
     val seed: Int,
@@ -121,9 +139,27 @@
     /** Times at which the thread of the stand-in workers stood still. */
     val standstills = ConcurrentLinkedQueue<Pair<Long, Long>>()
 
+    /** Lives of plain workers, by id, with the time of their start. */
+    val lives = ConcurrentLinkedQueue<Pair<String, Long>>()
+
+    val evacuations = ConcurrentLinkedQueue<SoakEvacuation>()
+
+    /** Times at which the store was in trouble. */
+    val storeTroubles = ConcurrentLinkedQueue<Pair<Long, Long>>()
+
+    /** The data centres of the workers, by id. */
+    val dataCentres = ConcurrentHashMap<String, String>()
+
     /** What a worker got that it must not get. */
     val unasked = ConcurrentLinkedQueue<Pair<String, String>>()
 
+    /** Records headers of [request] that a worker must not get, or must get otherwise. */
+    fun checkHeaders(request: SoakRequest) {
+        val tenant = ScriptedOrders.header(request.head, "tenant")
+        val key = ScriptedOrders.header(request.head, "authorization")
+        if (tenant != "shop" || key != null) unasked.add(request.id to "tenant $tenant, key $key")
+    }
+
     /** Adds a run of [id] at [worker]. */
     fun begin(
         id: String,
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaController.kt
@@ -7,8 +7,10 @@
 
 import auburnhall.core.EngineProfile
 import auburnhall.core.Fleet
+import auburnhall.core.MemberState
 import auburnhall.core.Model
 import auburnhall.core.ModelDemand
+import auburnhall.core.Replica
 import auburnhall.core.ReplicaName
 import auburnhall.core.ReplicaTracker
 import auburnhall.core.Worker
@@ -24,13 +26,24 @@
         TeardownManager(context, monitor, formations::contains) { it.fabricDomain in spareDomains }
     private val availability = WorkerAvailability(context, monitor, formations, teardowns)
     private val survey = TakeoverSurvey(context.clock, needed = !context.term.firstStart)
-    private val limiter = WeightLoadLimiter(context.clock)
+    private val loads = LoadBudget(context, formations, availability)
     private val planCache = ReplicaPlanCache()
-    private val stagingRequested = HashSet<Pair<WorkerIncarnation, String>>()
     private var spareDomains: Set<String> = emptySet()
+    private var modelCount = 0
+
+    private val estimate = DemandEstimate(context.clock)
+    private val closings = ReplicaClosings(context)
+    private val conversions = ConversionPlanner(context.clock)
+    private val planStatus = PlanStatus(context)
+
+    /** The replicas of each model by data centre, as of the last decision. */
+    var status: List<ModelStatus> = emptyList()
+        private set
 
     /** The demand by model, as last counted. */
-    var demand: Map<String, ModelDemand> = emptyMap()
+    var demand: Map<String, ModelDemand>
+        get() = estimate.counted
+        set(value) = estimate.update(value)
 
     /** Data centres that are evacuated: nothing is formed or loaded there, and what is open there stays. */
     var evacuated: Set<String> = emptySet()
@@ -42,6 +55,13 @@
             override fun freeMs(worker: Worker): Long = availability.freeMs(worker)
 
             override fun slotUtilization(model: String): Double? = demand[model]?.utilization
+
+            override fun pendingLoads(
+                domain: String,
+                model: Model,
+            ): List<PendingLoad> = loads.pending(domain, model)
+
+            override val coldMembersAllowed: Boolean get() = availability.loadsUnlimited || modelCount < 2
         }
 
     /** A process suspects the replica [key]: it has received no data from it within the failure detector's timeout. */
@@ -74,17 +94,22 @@
         tracker: ReplicaTracker,
     ): List<Order> {
         val workers = survey.corrected(fleet.ofService(context.service))
+        loads.update(workers)
+        modelCount = engine.models.size
         val orders = ArrayList<Order>()
         orders += monitor.probes(fleet, tracker)
         val formationOrders = formations.update(workers)
-        orders += teardowns.update(fleet, tracker.open, workers)
+        val closing = fleet.replicas(context.service, engine.models).filter { it.state == MemberState.CLOSING }
+        orders += teardowns.update(fleet, tracker.open + closing, workers)
         orders += formationOrders
         val candidates = availability.free(workers)
         orders += survey.probes(candidates)
         if (availability.isSettled(workers)) {
-            orders +=
-                placeReplicas(workers, candidates.filter(survey::isKnown), engine)
+            val active = workers.filter { it.dataCentre !in evacuated }
+            val free = candidates.filter { survey.isKnown(it) && it.dataCentre !in evacuated }
+            orders += placeReplicas(active, free, engine, useReserve = active.size < workers.size, tracker.open)
         }
+        orders += closings.update(workers)
         return orders
     }
 
@@ -101,6 +126,7 @@
                 survey.onLeft(order.worker, key)
                 formations.onLeft(order.worker, key)
             }
+            is Order.Close -> closings.onResult(ReplicaEpoch(order.replica, order.epoch), result)
             is Order.Stage, is Order.Probe -> Unit
         }
     }
@@ -109,58 +135,96 @@
         workers: List<Worker>,
         freeWorkers: List<Worker>,
         engine: EngineProfile,
+        useReserve: Boolean,
+        open: List<Replica>,
     ): List<Order> {
         val free = FreeWorkers(freeWorkers)
         val sizes = workers.filter { monitor.isUsable(it) }.groupingBy { it.fabricDomain.orEmpty() }.eachCount()
         val largest = sizes.values.maxOrNull() ?: 0
         val fullPlan = planCache.plan(sizes.mapValues { largest }, engine.models)
-        val plans = DomainPlans(planCache.plan(sizes, engine.models), fullPlan)
-        val placer = ReplicaPlacer(engine.models, plans, replicaCounts(workers), free, placementContext)
+        val present = replicaCounts(workers)
+        val needed = estimate.needed(engine)
+        val demands = ReplicaPlanner.demands(engine.models, needed)
+        val plan = planCache.plan(sizes, engine.models, present, useReserve, demands)
+        val capacity = ReplicaPlanner.capacity(sizes, useReserve)
+        val plans = DomainPlans(plan, fullPlan, capacity, needed, conversions.reserved(closings.domains))
+        val counts = PlacementCounts(engine.models, plans, present)
+        val formationTime = FormationTime(engine, loads.runningCount)
+        val placer = ReplicaPlacer(engine.models, counts, free, placementContext, formationTime)
+        val inventory = WeightInventory(engine.models, placementContext)
         val placements = generateSequence { placer.next() }.toList()
-        val newReplicas = placements.map { begin(it, spare = false) }
+        val newReplicas = placements.map { begin(it, engine, inventory, spare = false) }
+        placements.forEach {
+            conversions.onFormed(
+                it.members
+                    .first()
+                    .fabricDomain
+                    .orEmpty(),
+                it.model,
+            )
+        }
+        if (needed != null) {
+            val candidates = ConversionCandidates(convertible(open), counts, free, inventory, formationTime)
+            conversions
+                .next(engine.models, ModelCoverage(counts, needed), candidates, closings.domains)
+                ?.let { closings.begin(it.replicas, "${it.model.name} is short of replicas") }
+        }
         spareDomains = free.domains
-        val sparePlanner = SparePlanner(engine.models, placer.plan, free, placementContext)
-        val newSpares = sparePlanner.modelsToLoad(availableLoads(engine)).map { begin(it, spare = true) }
-        return (newReplicas + newSpares).flatMap { formations.joinOrders.orders(it) } +
-            stagingOrders(sparePlanner, engine)
+        val spares = freeWorkers.mapTo(HashSet()) { it.incarnation }
+        val needs = SpareNeeds(plan, counts.coverage(), placer.loadsWanted)
+        val sparePlanner = SparePlanner(engine.models, needs, free, placementContext)
+        val newSpares =
+            sparePlanner.modelsToLoad(loads.forSpares(engine)).map { begin(it, engine, inventory, spare = true) }
+        val forming = formations.all.flatMapTo(HashSet()) { it.memberIds }
+        val settled = workers.filter { monitor.isUsable(it) && it.id !in forming }
+        status = planStatus.update(engine.models, workers, PlanSnapshot(plan, present, counts, demand))
+        val staging = StagingPlanner(engine, needs, inventory).wanted(settled, spares)
+        return (newReplicas + newSpares).flatMap { formations.joinOrders.orders(it) } + stagingOrders(staging, engine)
     }
 
+    /** Those of the [open] replicas that may be closed. */
+    private fun convertible(open: List<Replica>): List<Replica> =
+        open.filter { replica ->
+            val key = ReplicaEpoch(replica.name, replica.epoch)
+            val unused = key !in teardowns && key !in closings && key !in formations
+            unused && replica.members.all { monitor.isUsable(it) && it.dataCentre !in evacuated }
+        }
+
     private fun begin(
         placement: Placement,
+        engine: EngineProfile,
+        inventory: WeightInventory,
         spare: Boolean,
     ): FormingReplica {
-        val cold = placement.members.count { isCold(it, placement.model) }
-        repeat(cold) { limiter.onLoadStarted() }
-        return formations.begin(placement.model, placement.members, cold, spare)
+        val cold = placement.members.filter { !inventory.locality(it, placement.model).isWarm }
+        cold.forEach { loads.begin(it, placement.model, engine) }
+        return formations.begin(placement.model, placement.members, cold.size, spare)
     }
 
-    /** Whether [worker] would have to load the weights of [model] from the weight store. */
-    private fun isCold(
-        worker: Worker,
-        model: Model,
-    ) = model.name !in worker.stagedModels && model.name !in worker.loadedModels
-
     private fun stagingOrders(
-        sparePlanner: SparePlanner,
+        wanted: List<Placement>,
         engine: EngineProfile,
     ): List<Order> {
-        val planned = sparePlanner.modelsToStage(minOf(availableLoads(engine), engine.coldLoadsAtFullSpeed))
-        val notRequested = planned.filter { stagingRequested.add(it.members.first().incarnation to it.model.name) }
-        repeat(notRequested.size) { limiter.onLoadStarted() }
-        return notRequested.map { Order.Stage(it.members.first(), it.model.name) }
+        val chosen = wanted.filter { !loads.isLoading(it.members.first(), it.model) }.take(loads.forStaging(engine))
+        chosen.forEach { loads.begin(it.members.first(), it.model, engine) }
+        return chosen.map { Order.Stage(it.members.first(), it.model.name) }
     }
 
-    private fun availableLoads(engine: EngineProfile): Int =
-        if (availability.loadsUnlimited) Int.MAX_VALUE else limiter.permits(engine.coldLoadsPerSecond).coerceAtLeast(0)
-
-    /** Counts the replicas that serve or are being formed, by domain and model. */
+    /** Counts the replicas that serve or are being formed with heads among [workers], by domain and model. */
     private fun replicaCounts(workers: List<Worker>): Map<Pair<String, String>, Int> {
-        val forming = formations.all.filter { !it.spare }.map { it.head.fabricDomain.orEmpty() to it.model }
+        val forming =
+            formations.all.filter { !it.spare && it.head.dataCentre !in evacuated }.map {
+                it.head.fabricDomain.orEmpty() to
+                    it.model
+            }
         val open =
             workers
                 .filter(teardowns::isServingHead)
-                .filter { head -> checkNotNull(head.membership).key.let { it !in teardowns && it !in formations } }
+                .filter { it.membership?.state == MemberState.OPEN }
+                .filter { isCounted(checkNotNull(it.membership).key) }
                 .map { it.fabricDomain.orEmpty() to ReplicaName.modelOf(checkNotNull(it.membership).replica) }
         return (forming + open).groupingBy { it }.eachCount()
     }
+
+    private fun isCounted(key: ReplicaEpoch) = key !in teardowns && key !in formations && key !in closings
 }
--- a/replica/src/main/kotlin/auburnhall/replica/ReplicaPlanner.kt
+++ b/replica/src/main/kotlin/auburnhall/replica/ReplicaPlanner.kt
@@ -33,24 +33,57 @@
     /** Replicas of [model] needed per worker of the fleet; its share of the load is its share of the workers. */
     fun demand(model: Model): Double = (model.share / model.size).coerceAtLeast(MIN_DEMAND)
 
+    /** The demand of [models] by name, where [needed] is the number of replicas needed; null if that is not known. */
+    fun demands(
+        models: List<Model>,
+        needed: Map<String, Double>?,
+    ): Map<String, Double> = needed ?: models.associate { it.name to demand(it) }
+
     /**
      * Returns the plan by domain for domains with [sizes] workers. The largest domain is assumed to be complete;
-     * smaller ones have lost workers and use up their reserve. Models with large replicas are placed first, since small
-     * replicas fit into the rest. Of all possible numbers of large replicas, the one is chosen that gives the model
-     * with the fewest replicas per demand the most.
+     * smaller ones have lost workers and use up their reserve; with [useReserve] all do. Models with large replicas are
+     * placed first, since small replicas fit into the rest. Of all possible numbers of large replicas, the one is
+     * chosen that gives the model with the fewest replicas per demand the most. The replicas that are [present], by
+     * domain and model, stay.
      */
     fun plan(
         sizes: Map<String, Int>,
         models: List<Model>,
+        present: Map<Pair<String, String>, Int> = emptyMap(),
+        useReserve: Boolean = false,
+        demands: Map<String, Double> = demands(models, null),
     ): Map<String, DomainPlan> {
-        val fullSize = sizes.values.maxOrNull() ?: 0
-        val maxMembers = fullSize - reserve(fullSize)
-        val freeWorkers = sizes.mapValues { (_, workers) -> minOf(workers, maxMembers) }
         if (models.isEmpty()) return sizes.mapValues { emptyMap() }
-        return best(models.sortedByDescending { it.size }, PartialPlan(freeWorkers, emptyMap()), models)
+        val freeWorkers =
+            capacity(sizes, useReserve).mapValues { (domain, workers) ->
+                workers -
+                    used(domain, models, present)
+            }
+        return best(models.sortedByDescending { it.size }, PartialPlan(freeWorkers, present, demands), models)
             .byDomain(sizes.keys)
     }
 
+    /**
+     * Number of workers that each of the domains with [sizes] workers may put into replicas: with [useReserve] all of
+     * them.
+     */
+    fun capacity(
+        sizes: Map<String, Int>,
+        useReserve: Boolean = false,
+    ): Map<String, Int> {
+        if (useReserve) return sizes
+        val fullSize = sizes.values.maxOrNull() ?: 0
+        val maxMembers = fullSize - reserve(fullSize)
+        return sizes.mapValues { (_, workers) -> minOf(workers, maxMembers) }
+    }
+
+    /** Number of workers of [domain] that are members of the replicas that are [present]. */
+    fun used(
+        domain: String,
+        models: List<Model>,
+        present: Map<Pair<String, String>, Int>,
+    ): Int = models.sumOf { (present[domain to it.name] ?: 0) * it.size }
+
     private fun best(
         models: List<Model>,
         partial: PartialPlan,
@@ -68,11 +101,12 @@
     private class PartialPlan(
         val freeWorkers: Map<String, Int>,
         val placed: Map<Pair<String, String>, Int>,
+        val demands: Map<String, Double>,
     ) {
         val replicaCount: Int get() = placed.values.sum()
 
         /** The lowest number of replicas per demand among [models]. */
-        fun lowestCoverage(models: List<Model>): Double = models.minOf { count(it) / demand(it) }
+        fun lowestCoverage(models: List<Model>): Double = models.minOf { count(it) / demandOf(it) }
 
         fun byDomain(domains: Set<String>): Map<String, DomainPlan> =
             domains.associateWith { domain ->
@@ -87,11 +121,13 @@
             model: Model,
             allModels: List<Model>,
         ): PartialPlan {
-            val others = (allModels - model).minOfOrNull { count(it) / demand(it) } ?: Double.MAX_VALUE
-            val enough = others * demand(model) * SURPLUS_FACTOR
+            val others = (allModels - model).minOfOrNull { count(it) / demandOf(it) } ?: Double.MAX_VALUE
+            val enough = others * demandOf(model) * SURPLUS_FACTOR
             return generateSequence(this) { if (it.count(model) >= enough) null else it.add(model) }.last()
         }
 
+        private fun demandOf(model: Model) = demands.getValue(model.name)
+
         private fun count(model: Model) = placed.filterKeys { it.second == model.name }.values.sum()
 
         private fun add(model: Model): PartialPlan? {
@@ -104,28 +140,43 @@
             return PartialPlan(
                 freeWorkers + (domain to freeWorkers.getValue(domain) - model.size),
                 placed + (key to (placed[key] ?: 0) + 1),
+                demands,
             )
         }
     }
 }
 
+/** What a plan depends on. */
+private data class PlanInput(
+    val sizes: Map<String, Int>,
+    val models: List<Model>,
+    val present: Map<Pair<String, String>, Int>,
+    val useReserve: Boolean,
+    val demands: Map<String, Double>,
+)
+
 /**
- * Caches the last plans: a plan is needed at each decision but changes only when a domain gains or loses workers.
- * Control thread only.
+ * Caches the last plans: a plan is needed at each decision but changes only when a domain gains or loses workers or
+ * replicas. Control thread only.
  */
 class ReplicaPlanCache {
     private val plans =
-        object : LinkedHashMap<Pair<Map<String, Int>, List<Model>>, Map<String, DomainPlan>>() {
-            override fun removeEldestEntry(
-                eldest: MutableMap.MutableEntry<Pair<Map<String, Int>, List<Model>>, Map<String, DomainPlan>>,
-            ) = size > MAX_PLANS
+        object : LinkedHashMap<PlanInput, Map<String, DomainPlan>>() {
+            override fun removeEldestEntry(eldest: MutableMap.MutableEntry<PlanInput, Map<String, DomainPlan>>) =
+                size > MAX_PLANS
         }
 
     /** Same as [ReplicaPlanner.plan]. */
     fun plan(
         sizes: Map<String, Int>,
         models: List<Model>,
-    ): Map<String, DomainPlan> = plans.getOrPut(sizes to models) { ReplicaPlanner.plan(sizes, models) }
+        present: Map<Pair<String, String>, Int> = emptyMap(),
+        useReserve: Boolean = false,
+        demands: Map<String, Double> = ReplicaPlanner.demands(models, null),
+    ): Map<String, DomainPlan> =
+        plans.getOrPut(PlanInput(sizes, models, present, useReserve, demands)) {
+            ReplicaPlanner.plan(sizes, models, present, useReserve, demands)
+        }
 
     private companion object {
         /** Enough for the plans with current and with full domain sizes, before and after a loss. */
--- a/routing/src/main/kotlin/auburnhall/routing/Admission.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Admission.kt
@@ -15,6 +15,8 @@
     val requestsAhead: Int,
     /** Requests that this process sent to the same targets in the last second. */
     val requestsSentLastSecond: Int,
+    /** Requests per second that this process may send to the cold ones of the same targets. */
+    val coldPerSecond: Double = 0.0,
 )
 
 /** Admission decision for a request. */
@@ -50,6 +52,7 @@
             is Choice.Send -> Admission.Send(choice.target, choice.load)
             is Choice.None -> refuse("no target", NO_TARGET_RETRY_MS)
             is Choice.AwaitLease -> Admission.Wait
+            is Choice.Evacuated -> refuse("data centres evacuated", EVACUATED_RETRY_MS)
             is Choice.Full -> whenFull(choice, queue)
             is Choice.Limited -> whenLimited(choice, queue)
         }
@@ -67,7 +70,10 @@
         }
     }
 
-    private fun expectedMs(queue: QueueState) = queue.requestsAhead * MS_PER_SECOND / (queue.requestsSentLastSecond + 1)
+    private fun expectedMs(queue: QueueState): Long {
+        val perSecond = maxOf(queue.requestsSentLastSecond + 1.0, queue.coldPerSecond)
+        return (queue.requestsAhead * MS_PER_SECOND / perSecond).toLong()
+    }
 
     private fun whenFull(
         choice: Choice.Full,
@@ -99,6 +105,9 @@
         /** About the time that forming a new replica takes. */
         private const val NO_TARGET_RETRY_MS = 700L
 
+        /** The end of an evacuation is not known in advance; a caller that has time left asks again after this. */
+        private const val EVACUATED_RETRY_MS = 1_000L
+
         /** About the time in which half of the streams of a full replica end. */
         private const val FULL_RETRY_MS = 700L
         private const val MS_PER_SECOND = 1_000L
--- a/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
+++ b/standin/src/main/kotlin/auburnhall/standin/StandinWorker.kt
@@ -10,6 +10,7 @@
 import auburnhall.http.ResponseWriter
 import auburnhall.http.newHeaders
 import io.netty.buffer.Unpooled
+import io.netty.handler.codec.http.HttpHeaders
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonObjectBuilder
@@ -28,6 +29,13 @@
     val id: String,
     val service: String,
     val domain: String?,
+    val dataCentre: String = StandinPlatform.DATA_CENTRES.first(),
+)
+
+/** A request that reached a worker in [dataCentre]. */
+data class Arrival(
+    val atMs: Long,
+    val dataCentre: String,
 )
 
 /** What streams send; tests replace it to see each run and to break it off. */
@@ -91,6 +99,14 @@
         publish()
     }
 
+    /** Until then it is cold, as its entry and its responses say; null if it never was. */
+    var coldUntilMs: Long? = null
+        set(value) {
+            field = value
+            publish()
+        }
+    private val coldRemainingMs: Long? get() = coldUntilMs?.let { (it - Clock.SYSTEM.nowMs()).coerceAtLeast(0) }
+
     /** HOST:PORT; the entry is written to the store when it is set. */
     var address = ""
         set(value) {
@@ -107,6 +123,12 @@
         val expected = request.headers.get("Expect-Instance")
         when {
             expected != null && expected != identity.id -> response.send(MISDIRECTED_STATUS, newHeaders(), ByteArray(0))
+            request.path == "/health" ->
+                response.send(
+                    OK_STATUS,
+                    stamped(request, identity.id).setCold(coldRemainingMs),
+                    ByteArray(0),
+                )
             request.path == "/auburnhall/report" -> response.sendJson(OK_STATUS) { putEntry() }
             request.path == "/auburnhall/order" ->
                 order(
@@ -116,8 +138,9 @@
             identity.domain != null -> stream(request, response)
             else -> {
                 executions++
+                platform.onArrival(identity.dataCentre)
                 platform.orderTimesMs.add(Clock.SYSTEM.nowMs())
-                val headers = stamped(request, identity.id)
+                val headers = stamped(request, identity.id).setCold(coldRemainingMs)
                 platform.ordersPerSecond?.let { headers.set("Server-Limit", it.toString()) }
                 response.send(OK_STATUS, headers, "{\"number\":$executions}".toByteArray())
             }
@@ -159,13 +182,17 @@
         request: InboundRequest,
         response: ResponseWriter,
     ) {
+        platform.onArrival(identity.dataCentre)
         val current = membership
         if (current?.state != "open") {
             response.send(UNAVAILABLE_STATUS, stamped(request, identity.id).set("Not-Executed", "1"), ByteArray(0))
             return
         }
         executions++
-        response.start(OK_STATUS, stamped(request, identity.id).set("Content-Type", "text/event-stream"))
+        response.start(
+            OK_STATUS,
+            stamped(request, identity.id).setCold(coldRemainingMs).set("Content-Type", "text/event-stream"),
+        )
         openStreams.add(response)
         if (platform.crashesAt(request.headers.get("Prompt-Prefix").orEmpty())) {
             platform.scheduler.after(EVENT_INTERVAL_MS, ::crash)
@@ -212,11 +239,12 @@
     private fun JsonObjectBuilder.putEntry() {
         put("service", identity.service)
         put("address", address)
-        put("zone", "z1")
+        put("zone", identity.dataCentre)
         put("slots", SLOTS)
         put("state", READY)
         put("born", startNumber)
         put("pace", 1.0)
+        coldRemainingMs?.let { put("cold_remaining_ms", it) }
         identity.domain?.let { put("domain", it) }
         putJsonArray("staged") { staged.forEach { add(it) } }
         put("models", buildJsonArray { })
@@ -280,3 +308,9 @@
     "Attempt-Id",
     request.headers.get("Attempt-Id") ?: "",
 )
+
+/** A worker that was never cold says nothing of it. */
+private fun HttpHeaders.setCold(remainingMs: Long?): HttpHeaders =
+    if (remainingMs == null) this else set("Cold-Remaining", (remainingMs / MS_PER_SECOND).toString())
+
+private const val MS_PER_SECOND = 1_000.0
