Revert the leases on slots; their trial showed no gain for callers

Before it is taken up again, leases have to prefer targets with an idle connection, and the totals have to shrink.

--- a/entry/src/main/kotlin/auburnhall/entry/EntryMetrics.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryMetrics.kt
@@ -11,7 +11,6 @@
 import auburnhall.http.StrayKind
 import auburnhall.replica.ModelStatus
 import auburnhall.routing.QuarantinedPart
-import auburnhall.routing.SendObservation
 import io.prometheus.metrics.core.metrics.Counter
 import io.prometheus.metrics.core.metrics.GaugeWithCallback
 import io.prometheus.metrics.core.metrics.Histogram
@@ -55,13 +54,6 @@
         it.latency.labelValues(kind, outcome).observe(tookMs / MS_PER_SECOND)
     }
 
-    override fun onSent(observation: SendObservation) =
-        record {
-            it.sendLoad.observe(observation.loadPerSlot)
-            if (observation.full) it.fullTargetSends.labelValues("full").inc()
-            if (observation.uneven) it.fullTargetSends.labelValues("uneven").inc()
-        }
-
     override fun onRetry(reason: String) = record { it.retries.labelValues(reason).inc() }
 
     /** Bytes of a worker belonged to no response that was awaited. */
@@ -145,22 +137,6 @@
             .classicExponentialUpperBounds(FIRST_BUCKET_S, BUCKET_FACTOR, BUCKET_COUNT)
             .register(registry)
 
-    val sendLoad =
-        Histogram
-            .builder()
-            .name("auburnhall_send_load_per_slot")
-            .help("Known load per slot of the target of each request when it was sent.")
-            .classicOnly()
-            .classicLinearUpperBounds(LOAD_BUCKET, LOAD_BUCKET, LOAD_BUCKETS)
-            .register(registry)
-    val fullTargetSends =
-        Counter
-            .builder()
-            .name("auburnhall_full_target_sends_total")
-            .help("Requests sent to a target known to be full, or much fuller than the least loaded one, by reason.")
-            .labelNames("reason")
-            .register(registry)
-
     /** Registers a gauge; [value] is called at each scrape. */
     fun gauge(
         name: String,
@@ -214,10 +190,6 @@
         const val FIRST_BUCKET_S = 0.01
         const val BUCKET_FACTOR = 2.0
         const val BUCKET_COUNT = 11
-
-        /** Width of the buckets in requests per slot, and their number. */
-        const val LOAD_BUCKET = 0.125
-        const val LOAD_BUCKETS = 16
     }
 }
 
--- a/entry/src/main/kotlin/auburnhall/entry/LoadExchange.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/LoadExchange.kt
@@ -14,8 +14,6 @@
 import auburnhall.routing.LoadCollector
 import auburnhall.routing.LoadTracker
 import auburnhall.routing.LoadsByHash
-import auburnhall.routing.WaitingByPool
-import kotlin.random.Random
 
 /** Sends the load reports of this process and handles those of others. Traffic thread only. */
 class LoadExchange(
@@ -24,19 +22,15 @@
     private val scheduler: Scheduler,
     private val loadTracker: LoadTracker,
     private val sender: PeerSender,
-    pools: LeasablePools,
 ) {
     private val self = settings.processName
     private val dataCentre = settings.dataCentre
     private val collectorSelector = CollectorSelector(clock, self)
     private val collector = LoadCollector(clock)
-    private val runtime = PeerRuntime(clock, scheduler, Random(self.hashCode()))
-    private val leases = LeaseExchange(settings, runtime, loadTracker, collector, pools, sender)
-    private val totals = LoadTotals(loadTracker, collector, leases)
     private var peers: Map<String, PeerProcess> = emptyMap()
     private var localPeers: Set<String> = emptySet()
     private var remoteCollectors: List<String> = emptyList()
-    private var collectorTotal = ReportContent(emptyMap())
+    private var collectorTotal: LoadsByHash = emptyMap()
     private val ownReport = Report(LoadScope.PROCESS)
     private val localReport = Report(LoadScope.DATA_CENTRE)
     private val totalReport = Report(LoadScope.ALL)
@@ -48,51 +42,30 @@
     /** Starts to send reports; call once. */
     fun start() {
         loadTracker.onOwnChange = { wakeBy(clock.nowMs()) }
-        loadTracker.waiting.onOwnChange = { wakeBy(clock.nowMs()) }
         wakeBy(clock.nowMs())
     }
 
     /** Replaces the other processes by [known]. */
     fun onPeers(known: Map<String, PeerProcess>) {
         peers = known
-        leases.processes = known.size + 1
         localPeers = known.filterValues { it.dataCentre == dataCentre }.keys
         remoteCollectors = collectorCandidates(known - localPeers)
         collectorSelector.updateProcesses(localPeers)
     }
 
-    /** Handles leases that a collector has granted to this process. */
-    fun onLeases(message: PeerMessage) {
-        if (!direct && collectorSelector.isCurrent(message.process)) leases.onGranted(message.process, message.leases)
-    }
-
     /** Handles a load report of one process or a total over several. */
     fun onMessage(message: PeerMessage) {
         val loads = message.loads()
-        val waiting = ReportedWaiting.toWaiting(message.waiting)
         if (!direct && message.scope != LoadScope.ALL) wakeBy(clock.nowMs())
         when (message.scope) {
-            LoadScope.PROCESS -> onReport(message, loads, waiting)
-            LoadScope.DATA_CENTRE -> {
-                collector.onDataCentreTotal(message.dataCentre, loads, waiting)
-                leases.onDataCentreTotal(message.dataCentre, message.reservedByTarget().orEmpty())
-            }
-            LoadScope.ALL -> onTotal(message.process, ReportContent(loads, waiting, message.reservedByTarget()))
-        }
-    }
-
-    private fun onReport(
-        message: PeerMessage,
-        loads: LoadsByHash,
-        waiting: WaitingByPool,
-    ) {
-        collector.onReport(message.process, loads, waiting)
-        if (direct) {
-            loadTracker.onPeerReport(message.process, loads)
-            loadTracker.waiting.onReportSent(emptyMap())
-            loadTracker.waiting.onTotal(collector.dataCentreWaiting(emptyMap()))
-        } else if (collectorSelector.isCurrent(self)) {
-            leases.onReport(message)
+            LoadScope.PROCESS ->
+                if (direct) {
+                    loadTracker.onPeerReport(message.process, loads)
+                } else {
+                    collector.onReport(message.process, loads)
+                }
+            LoadScope.DATA_CENTRE -> collector.onDataCentreTotal(message.dataCentre, loads)
+            LoadScope.ALL -> onTotal(message.process, loads)
         }
     }
 
@@ -106,22 +79,24 @@
 
     private fun sendDue() {
         timerAtMs = Long.MAX_VALUE
-        val own = ReportContent(loadTracker.ownLoads(), loadTracker.waiting.own, leases = leases.receipt)
-        if (direct) ownReport.offer(own, peers.keys) else reportToCollector(own)
+        val ownLoads = loadTracker.ownLoads()
+        if (direct) ownReport.offer(ownLoads, peers.keys) else reportToCollector(ownLoads)
     }
 
-    private fun reportToCollector(own: ReportContent) {
+    private fun reportToCollector(ownLoads: LoadsByHash) {
         val chosen = collectorSelector.choose()
-        if (chosen != self && ownReport.offer(own, listOf(chosen))) totals.onReportSent(own)
-        if (chosen == self || collector.hasReports) sendTotals(own, isPrimary = chosen == self)
+        if (chosen != self && ownReport.offer(ownLoads, listOf(chosen))) {
+            loadTracker.aggregate.onReportSent(ownLoads)
+        }
+        if (chosen == self || collector.hasReports) sendTotals(ownLoads, isPrimary = chosen == self)
     }
 
     /**
      * Adds up the reports of other processes and sends them the total. A process that has a collector of its own, but
-     * still receives reports, forwards that collector's total, without its leases.
+     * still receives reports, forwards that collector's total.
      */
     private fun sendTotals(
-        own: ReportContent,
+        ownLoads: LoadsByHash,
         isPrimary: Boolean,
     ) {
         val openAtMs = minOf(localReport.openAtMs, totalReport.openAtMs)
@@ -129,24 +104,24 @@
             wakeBy(openAtMs)
             return
         }
-        val local = totals.local(own)
-        val total = if (isPrimary) totals.system(local) else collectorTotal.copy(reserved = null)
-        if (isPrimary) localReport.offer(local, remoteCollectors)
+        val localLoads = collector.dataCentreTotal(ownLoads)
+        val total = if (isPrimary) collector.systemTotal(localLoads) else collectorTotal
+        if (isPrimary) localReport.offer(localLoads, remoteCollectors)
         totalReport.offer(total, localPeers)
         if (isPrimary) {
-            totals.onReportSent(own)
-            totals.apply(total)
+            loadTracker.aggregate.onReportSent(ownLoads)
+            loadTracker.aggregate.onTotal(total)
         }
     }
 
     private fun onTotal(
         senderName: String,
-        total: ReportContent,
+        loads: LoadsByHash,
     ) {
         collectorSelector.onTotalReceived(senderName)
         if (direct || !collectorSelector.isCurrent(senderName)) return
-        collectorTotal = total
-        totals.apply(total)
+        collectorTotal = loads
+        loadTracker.aggregate.onTotal(loads)
     }
 
     /** One kind of message, sent when its schedule says so. */
@@ -158,17 +133,17 @@
         /** When changed loads may be sent, in milliseconds of the monotonic clock. */
         val openAtMs: Long get() = schedule.nextChangeAtMs(periodMs())
 
-        /** Sends [content] to the processes [names] if that is due; wakes this process when it will be due. */
+        /** Sends [loads] to the processes [names] if that is due; wakes this process when it will be due otherwise. */
         fun offer(
-            content: ReportContent,
+            loads: LoadsByHash,
             names: Collection<String>,
         ): Boolean {
-            val due = schedule.dueAtMs(content, periodMs()) <= clock.nowMs()
+            val due = schedule.dueAtMs(loads, periodMs()) <= clock.nowMs()
             if (due) {
-                schedule.onSent(content)
-                sender.send(PeerMessage.ofReport(self, content, scope, dataCentre), names)
+                schedule.onSent(loads)
+                sender.send(PeerMessage.ofLoads(self, loads, scope, dataCentre), names)
             }
-            wakeBy(schedule.dueAtMs(content, periodMs()))
+            wakeBy(schedule.dueAtMs(loads, periodMs()))
             return due
         }
 
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
@@ -24,13 +24,8 @@
 private const val PART_REPORT = 9
 private const val LIMITS = 10
 private const val EVACUATIONS = 11
-private const val WAITING = 12
-private const val LEASES = 13
-private const val RESERVED = 14
-private const val LEASES_RECEIVED = 15
-private const val LEASES_UNUSED = 16
-private const val GRANTS_LEASES = 17
 
+/** Those from 11 to 29 are for load reports and evacuations. */
 private const val COLDNESS = 30
 
 /** Status of a replica as one process reports it. */
@@ -64,8 +59,8 @@
 }
 
 /**
- * One datagram: a [partReport], [limits], [evacuations], [coldness], [leases], the status of a replica where [replica]
- * is set, or else a load report.
+ * One datagram: a [partReport], [limits], [evacuations], the status of a replica where [replica] is set, or else a load
+ * report.
  */
 @OptIn(ExperimentalSerializationApi::class)
 @Serializable
@@ -85,18 +80,6 @@
     @ProtoNumber(PART_REPORT) val partReport: PartReport? = null,
     /** Limits that workers have named; empty in the other messages. */
     @ProtoNumber(LIMITS) val limits: List<ReportedLimit> = emptyList(),
-    /** Requests that wait for a slot at the processes that a load report covers. */
-    @ProtoNumber(WAITING) val waiting: List<ReportedWaiting> = emptyList(),
-    /** Leases for the receiver; empty in the other messages. */
-    @ProtoNumber(LEASES) val leases: List<GrantedLease> = emptyList(),
-    /** In a total, the number of leased slots of the target at the same index of [targets]; may be shorter. */
-    @ProtoNumber(RESERVED) @ProtoPacked val reserved: List<Int> = emptyList(),
-    /** In a report of one process, the highest number of a lease that it has received; null if it takes no leases. */
-    @ProtoNumber(LEASES_RECEIVED) val leasesReceived: Int? = null,
-    /** In a report of one process, the numbers of the leases that it has not used. */
-    @ProtoNumber(LEASES_UNUSED) @ProtoPacked val leasesUnused: List<Int> = emptyList(),
-    /** Whether the sender of a total grants leases. */
-    @ProtoNumber(GRANTS_LEASES) val grantsLeases: Boolean = false,
     /** Evacuations of data centres, begun or ended; empty in the other messages. */
     @ProtoNumber(EVACUATIONS) val evacuations: List<ReportedEvacuation> = emptyList(),
     /** Workers that have stated that they are cold; empty in the other messages. */
@@ -108,17 +91,6 @@
             targets[index] to TargetLoad(requests.getOrElse(index) { 0 }, unreadTokens.getOrElse(index) { 0 })
         }
 
-    /** Leased slots by target hash; null where the sender grants no leases. */
-    fun reservedByTarget(): Map<Int, Int>? =
-        if (grantsLeases) {
-            reserved.indices
-                .filter {
-                    reserved[it] > 0
-                }.associate { targets[it] to reserved[it] }
-        } else {
-            null
-        }
-
     /** The datagram's payload. */
     fun encode(): ByteArray = ProtoBuf.encodeToByteArray(serializer(), this)
 
@@ -126,24 +98,6 @@
         /** Decodes the output of [encode]; throws `SerializationException` for other bytes. */
         fun decode(bytes: ByteArray): PeerMessage = ProtoBuf.decodeFromByteArray(serializer(), bytes)
 
-        /** The report of [content] by [process]. */
-        internal fun ofReport(
-            process: String,
-            content: ReportContent,
-            scope: LoadScope,
-            dataCentre: String,
-        ): PeerMessage {
-            val reserved = content.reserved.orEmpty()
-            val leased = reserved.keys.associateWith { TargetLoad.NONE } + content.loads
-            return ofLoads(process, leased, scope, dataCentre).copy(
-                waiting = ReportedWaiting.of(content.waiting),
-                reserved = if (reserved.isEmpty()) emptyList() else leased.keys.map { reserved[it] ?: 0 },
-                leasesReceived = content.leases?.received,
-                leasesUnused = content.leases?.unused.orEmpty(),
-                grantsLeases = content.reserved != null,
-            )
-        }
-
         /** The load report of [process]. */
         fun ofLoads(
             process: String,
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
@@ -11,10 +11,8 @@
 import auburnhall.gateway.GatewayGuards
 import auburnhall.routing.LoadTracker
 import auburnhall.routing.ReplicaFailureDetector
-import auburnhall.routing.Target
 import auburnhall.routing.TargetHealth
 import auburnhall.routing.TargetKey
-import auburnhall.routing.TargetPool
 import auburnhall.routing.TargetTable
 import io.netty.channel.ChannelFuture
 import io.netty.channel.EventLoop
@@ -42,8 +40,7 @@
 ) {
     private val process = settings.processName
     private val channel = PeerChannel(loop, settings.peerPort, events, ::onMessage)
-    private val loads =
-        LoadExchange(settings, runtime.clock, runtime.scheduler, routing.load, channel, ::leasablePools)
+    private val loads = LoadExchange(settings, runtime.clock, runtime.scheduler, routing.load, channel)
 
     /** Exchanges reports about parts of prompts. */
     val parts = PartExchange(process, runtime, guards.parts, channel)
@@ -96,16 +93,11 @@
             message.limits.isNotEmpty() -> limits.onReport(message.limits)
             message.evacuations.isNotEmpty() -> evacuations.onReport(message.process, message.evacuations)
             message.coldness.isNotEmpty() -> limits.onColdness(message.coldness)
-            message.leases.isNotEmpty() -> loads.onLeases(message)
             replica != null -> onStatus(TargetKey(replica), message.replicaStatus)
             else -> loads.onMessage(message)
         }
     }
 
-    /** The targets that are not known to fail; leases on the others would not be used. */
-    private fun leasablePools(): Map<TargetPool, List<Target>> =
-        routing.targets().pools.mapValues { (_, targets) -> targets.filterNot { routing.health.isAvoided(it.key) } }
-
     private fun onStatus(
         key: TargetKey,
         replicaStatus: ReplicaStatus,
--- a/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
@@ -144,14 +144,6 @@
             "auburnhall_request_body_bytes",
             "Bytes of memory that the bodies of callers' requests take.",
         ) { callers.heldRequestBytes }
-        metrics.gauge(
-            "auburnhall_slot_leases_received_total",
-            "Leases on slots of targets received since the start.",
-        ) { load.leases.receivedCount }
-        metrics.gauge(
-            "auburnhall_slot_leases_used_total",
-            "Leases on slots of targets used since the start.",
-        ) { load.leases.usedCount }
         metrics.gauge("auburnhall_limited_workers", "Workers that name a limit for requests.") { limits.count }
         metrics.gauge("auburnhall_cold_workers", "Workers that are cold.") { coldWorkers.count }
         metrics.gauge("auburnhall_worker_connections", "Open connections to workers.") { client.openConnections }
--- a/entry/src/test/kotlin/auburnhall/entry/LoadExchangeTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/LoadExchangeTest.kt
@@ -4,9 +4,7 @@
 import auburnhall.core.OperatorLimits
 import auburnhall.core.Settings
 import auburnhall.routing.LoadTracker
-import auburnhall.routing.Target
 import auburnhall.routing.TargetKey
-import auburnhall.routing.TargetPool
 import auburnhall.test.FakeScheduler
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
@@ -17,14 +15,13 @@
     private val time = FakeScheduler()
     private val processes = LinkedHashMap<String, SimulatedProcess>()
     private var datagrams = 0
-    private var pools: Map<TargetPool, List<Target>> = emptyMap()
 
     private inner class SimulatedProcess(
         val name: String,
         val dataCentre: String,
     ) : PeerSender {
         val load = LoadTracker(time)
-        val exchange = LoadExchange(settings(name, dataCentre), time, time, load, this) { pools }
+        val exchange = LoadExchange(settings(name, dataCentre), time, time, load, this)
         var failed = false
 
         fun start() {
--- a/gateway/src/main/kotlin/auburnhall/gateway/AdmissionQueue.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AdmissionQueue.kt
@@ -25,9 +25,6 @@
         pools[request.pool]?.remove(request)
     }
 
-    /** Number of waiting requests by pool. */
-    val counts: Map<TargetPool, Int> get() = pools.mapValues { it.value.size }.filterValues { it > 0 }
-
     /** Number of requests that wait for a target of [pool]. */
     fun waitingIn(pool: TargetPool): Int = pools[pool]?.size ?: 0
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -12,7 +12,6 @@
 import auburnhall.http.OutboundRequest
 import auburnhall.http.ResponseListener
 import auburnhall.http.endToEnd
-import auburnhall.routing.SendObservation
 import auburnhall.routing.Target
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpHeaders
@@ -129,8 +128,6 @@
     val isConnecting: Boolean get() = call?.isConnecting == true
 
     fun send() {
-        val pool = context.state.targets.of(accepted.service, accepted.metadata.model)
-        context.metrics.onSent(SendObservation.of(context.load, target, pool))
         context.load.begin(target.key, unreadTokens)
         context.limits.onSent(target)
         val metadata =
@@ -175,7 +172,6 @@
         released = true
         context.load.end(target.key, unreadTokens)
         context.unreported.onEnded(target.served, ageMs)
-        if (established && context.load.waiting.hasOwn(accepted.pool)) context.load.onSlotFreed(target)
     }
 
     override fun onHead(
--- a/gateway/src/main/kotlin/auburnhall/gateway/EvacuatedRequests.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/EvacuatedRequests.kt
@@ -24,9 +24,8 @@
     var count = 0
         private set
 
-    /** The data centres [evacuated] are, and no others; requests that wait for a connection there go elsewhere. */
+    /** The data centres [evacuated] are, and no others. */
     fun onEvacuated(evacuated: Set<String>) {
-        requests().toList().forEach { it.withdrawIfEvacuated() }
         begunAtMs.keys.retainAll(evacuated)
         occupied.retainAll(evacuated)
         occupied.addAll(evacuated - begunAtMs.keys)
--- a/gateway/src/main/kotlin/auburnhall/gateway/Filters.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Filters.kt
@@ -9,7 +9,6 @@
 import auburnhall.core.Route
 import auburnhall.core.WeightedService
 import auburnhall.http.InboundRequest
-import auburnhall.routing.TargetPool
 import io.netty.handler.codec.http.HttpHeaderNames
 import kotlin.random.Random
 
@@ -44,12 +43,8 @@
     /** Request id for log events; "-" if the caller sent none. */
     val id: String get() = metadata.id ?: "-"
 
-    /** The targets that can serve it. */
-    val pool: TargetPool
-        get() = TargetPool(service, metadata.model?.takeIf { configuration.services[service]?.engine != null })
-
     /** What its targets serve: the model, or the plain service. */
-    val served: String get() = pool.model ?: service
+    val served: String get() = metadata.model?.takeIf { configuration.services[service]?.engine != null } ?: service
 }
 
 /** Result of the filter chain. */
--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -9,6 +9,7 @@
 import auburnhall.routing.Choice
 import auburnhall.routing.QueueState
 import auburnhall.routing.Target
+import auburnhall.routing.TargetPool
 
 /** Forwards one request. Traffic thread only. */
 class ForwardedRequest internal constructor(
@@ -30,7 +31,7 @@
     private val supervision = ReplicaSupervision(context, state, this)
 
     /** The targets that can serve the request. */
-    val pool = accepted.pool
+    val pool = TargetPool(accepted.service, accepted.metadata.model)
 
     /** 0 is served first. */
     val priority: Int get() = accepted.customer?.priority ?: accepted.route.priority
--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -22,7 +22,6 @@
 
     init {
         context.parts.verdicts.onQuarantined = inFlight::stopQuarantined
-        context.load.leases.onGranted = inFlight::dispatchQueue
     }
 
     /** The stop of this process; null while none has begun. */
@@ -35,7 +34,7 @@
     }
 
     /** Number of requests in progress in evacuated data centres; may be read on any thread. */
-    val requestsInEvacuated: Int get() = inFlight.evacuated.count
+    val requestsInEvacuated: Int get() = inFlight.inEvacuated
 
     /** Number of requests that wait for a free slot. */
     val queuedRequests: Int get() = inFlight.queue.size
@@ -65,9 +64,9 @@
         context.state = state
         context.health.retain(::isInUse)
         context.failureDetector.retain(::isInUse)
-        if (state.targets.evacuated != evacuatedBefore) inFlight.evacuated.onEvacuated(state.targets.evacuated)
+        if (state.targets.evacuated != evacuatedBefore) inFlight.onEvacuated(state.targets.evacuated)
         if (state.configuration != null) startupQueue.release()
-        inFlight.dispatchQueue()
+        inFlight.queue.dispatchAll()
     }
 
     /** Whether requests may be sent to [key], or some are still in progress there. */
@@ -95,7 +94,7 @@
             model.name to
                 ModelDemand(
                     slotsInUse = targets.sumOf { context.load.total(it.key).requests },
-                    waiting = context.load.waiting.total(TargetPool(service, model.name)),
+                    waiting = inFlight.queue.waitingIn(TargetPool(service, model.name)),
                     slots = targets.sumOf { it.slots },
                 )
         }
--- a/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
@@ -16,7 +16,6 @@
 import auburnhall.routing.RetryBounds
 import auburnhall.routing.RetryBudget
 import auburnhall.routing.Router
-import auburnhall.routing.SendObservation
 import auburnhall.routing.Target
 import auburnhall.routing.TargetHealth
 import auburnhall.routing.TargetKey
@@ -138,9 +137,6 @@
     /** A request was retried because of [reason]. */
     fun onRetry(reason: String)
 
-    /** A request is being sent to a target with the load of [observation]. */
-    fun onSent(observation: SendObservation)
-
     companion object {
         val NONE =
             object : GatewayMetrics {
@@ -151,8 +147,6 @@
                 ) = Unit
 
                 override fun onRetry(reason: String) = Unit
-
-                override fun onSent(observation: SendObservation) = Unit
             }
     }
 }
--- a/gateway/src/main/kotlin/auburnhall/gateway/InFlightRequests.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/InFlightRequests.kt
@@ -13,10 +13,7 @@
 ) {
     private val all = LinkedHashSet<ForwardedRequest>()
     private val supervised = LinkedHashSet<ForwardedRequest>()
-    private val waiting = WaitingReport(context.load.waiting)
-
-    /** The requests in evacuated data centres. */
-    internal val evacuated = EvacuatedRequests(context) { all }
+    private val evacuated = EvacuatedRequests(context) { all }
     private var timer: ScheduledTask? = null
     private var timerAtMs = Long.MAX_VALUE
 
@@ -34,7 +31,6 @@
     /** Queues [request] until a slot is free. */
     fun enqueue(request: ForwardedRequest) {
         queue.add(request)
-        waiting.report(queue.counts)
         checkBy(context.clock.nowMs() + DISPATCH_PERIOD_MS)
     }
 
@@ -52,14 +48,7 @@
         all.remove(request)
         supervised.remove(request)
         queue.remove(request)
-        waiting.report(queue.counts)
-        if (queue.size > 0) context.scheduler.run { dispatchQueue() }
-    }
-
-    /** Tries to send the waiting requests. */
-    fun dispatchQueue() {
-        queue.dispatchAll()
-        waiting.report(queue.counts)
+        if (queue.size > 0) context.scheduler.run { queue.dispatchAll() }
     }
 
     /** Checks the replicas of supervised requests soon, since one of them is known to be lost. */
@@ -68,6 +57,15 @@
     /** Takes requests with a quarantined part away from targets that have not begun to respond to them. */
     fun stopQuarantined() = supervised.toList().forEach { it.stopIfQuarantined() }
 
+    /** Number of requests in evacuated data centres, as last counted; may be read on any thread. */
+    val inEvacuated: Int get() = evacuated.count
+
+    /** The data centres [dataCentres] are evacuated: requests that wait for a connection to a worker there leave. */
+    fun onEvacuated(dataCentres: Set<String>) {
+        all.toList().forEach { it.withdrawIfEvacuated() }
+        evacuated.onEvacuated(dataCentres)
+    }
+
     private fun checkBy(atMs: Long) {
         if (atMs >= timerAtMs) return
         timer?.cancel()
@@ -78,7 +76,7 @@
     /** Dispatches waiting requests and checks the replicas of supervised requests. */
     private fun check() {
         timerAtMs = Long.MAX_VALUE
-        dispatchQueue()
+        queue.dispatchAll()
         supervised.removeIf { it.hasNoAttempt }
         val dueAtMs = supervised.toList().minOfOrNull { it.checkReplica() }
         val now = context.clock.nowMs()
--- a/gateway/src/main/kotlin/auburnhall/gateway/ReplicaSupervision.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ReplicaSupervision.kt
@@ -63,7 +63,7 @@
         return when (val choice = state.choose()) {
             is Choice.Send -> choice.target
             is Choice.Full -> choice.target.takeIf { context.health.isLost(key) }
-            is Choice.AwaitLease, is Choice.Limited, is Choice.None, is Choice.Evacuated -> null
+            is Choice.Limited, is Choice.None, is Choice.Evacuated -> null
         }
     }
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
@@ -55,8 +55,7 @@
 
     /** Chooses the next target among those that the request was not sent to. */
     fun choose(): Choice {
-        val mayAwait = attempt == null && !mayHaveExecuted && context.load.leases.mayAwait(accepted.request.receivedAt)
-        val requirements = TargetRequirements(accepted.service, accepted.metadata.model, sentTo + unreachable, mayAwait)
+        val requirements = TargetRequirements(accepted.service, accepted.metadata.model, sentTo + unreachable)
         val choice = context.router.choose(requirements, targets(), context::waitMs)
         return if (choice is Choice.None && isEvacuated()) Choice.Evacuated else choice
     }
--- a/routing/src/main/kotlin/auburnhall/routing/Admission.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Admission.kt
@@ -51,7 +51,6 @@
         when (choice) {
             is Choice.Send -> Admission.Send(choice.target, choice.load)
             is Choice.None -> refuse("no target", NO_TARGET_RETRY_MS)
-            is Choice.AwaitLease -> Admission.Wait
             is Choice.Evacuated -> refuse("data centres evacuated", EVACUATED_RETRY_MS)
             is Choice.Full -> whenFull(choice, queue)
             is Choice.Limited -> whenLimited(choice, queue)
--- a/routing/src/main/kotlin/auburnhall/routing/LoadCollector.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/LoadCollector.kt
@@ -20,44 +20,28 @@
     fun onReport(
         name: String,
         loads: LoadsByHash,
-        waiting: WaitingByPool = emptyMap(),
     ) {
-        reportsByProcess[name] = ReceivedLoad(loads, clock.nowMs(), waiting)
+        reportsByProcess[name] = ReceivedLoad(loads, clock.nowMs())
     }
 
     /** The collector of [dataCentre], not the one of this process, reported the total [loads]. */
     fun onDataCentreTotal(
         dataCentre: String,
         loads: LoadsByHash,
-        waiting: WaitingByPool = emptyMap(),
     ) {
-        totalsByDataCentre[dataCentre] = ReceivedLoad(loads, clock.nowMs(), waiting)
+        totalsByDataCentre[dataCentre] = ReceivedLoad(loads, clock.nowMs())
     }
 
     /** The total of the load reports received and of [own], the load of this process. */
-    fun dataCentreTotal(own: LoadsByHash): LoadsByHash = add(valid(reportsByProcess).map { it.loads } + own)
+    fun dataCentreTotal(own: LoadsByHash): LoadsByHash = add(valid(reportsByProcess) + own)
 
     /** The total of all data centres; [local] is the total of this one. */
-    fun systemTotal(local: LoadsByHash): LoadsByHash = add(valid(totalsByDataCentre).map { it.loads } + local)
+    fun systemTotal(local: LoadsByHash): LoadsByHash = add(valid(totalsByDataCentre) + local)
 
-    /** The waiting requests of the processes that reported here, and of this one, which has [own]. */
-    fun dataCentreWaiting(own: WaitingByPool): WaitingByPool =
-        sumWaiting(valid(reportsByProcess).map { it.waiting } + own)
-
-    /** The waiting requests of all data centres; [local] are those of this one. */
-    fun systemWaiting(local: WaitingByPool): WaitingByPool =
-        sumWaiting(valid(totalsByDataCentre).map { it.waiting } + local)
-
-    /** The demand of each process that reported here recently, by name. */
-    fun demands(): Map<String, ProcessDemand> {
-        valid(reportsByProcess)
-        return reportsByProcess.mapValues { ProcessDemand(it.value.loads, it.value.waiting) }
-    }
-
-    private fun valid(received: HashMap<String, ReceivedLoad>): Collection<ReceivedLoad> {
+    private fun valid(received: HashMap<String, ReceivedLoad>): List<LoadsByHash> {
         val now = clock.nowMs()
         received.values.removeIf { !it.isValid(now) }
-        return received.values
+        return received.values.map { it.loads }
     }
 
     private companion object {
--- a/routing/src/main/kotlin/auburnhall/routing/LoadTracker.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/LoadTracker.kt
@@ -45,12 +45,6 @@
     /** The load as totalled by the collector. */
     val aggregate = AggregateLoad(clock)
 
-    /** The leases on slots that the collector granted to this process. */
-    val leases = SlotLeases(clock)
-
-    /** The requests that wait for a slot, over all processes. */
-    val waiting = PoolWaiting(clock)
-
     /** Load of this process by the hash of the target's key; targets without load are left out. */
     fun ownLoads(): LoadsByHash = ownByKey.entries.associate { it.key.text.hashCode() to it.value }
 
@@ -61,7 +55,6 @@
     ) {
         val sent = TargetLoad(1, unreadTokens)
         typicalWeight += (sent.weight - typicalWeight) * TYPICAL_WEIGHT_SHARE
-        leases.onSent(key)
         change(key, sent)
     }
 
@@ -77,12 +70,6 @@
         unreadTokens: Int,
     ) = change(key, TargetLoad(-1, -unreadTokens))
 
-    /** A request of this process at [target] ended while others wait here; one of them may use its slot at once. */
-    fun onSlotFreed(target: Target) {
-        val taken = total(target.key).requests + leases.reservedByOthers(target.key.text.hashCode())
-        if (taken < target.slots) leases.onSlotFreed(target.key)
-    }
-
     /** The process [peer] reported the load [loads], by the hash of the target's key. */
     fun onPeerReport(
         peer: String,
--- a/routing/src/main/kotlin/auburnhall/routing/ReceivedLoad.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/ReceivedLoad.kt
@@ -10,14 +10,13 @@
 internal class ReceivedLoad(
     val loads: LoadsByHash,
     receivedAtMs: Long,
-    val waiting: WaitingByPool = emptyMap(),
 ) {
     private val validUntilMs = receivedAtMs + VALID_MS
 
     /** Whether the report still counts at [now]. */
     fun isValid(now: Long): Boolean = now < validUntilMs
 
-    companion object {
+    private companion object {
         /** Several times the interval at which processes repeat unchanged load reports. */
         const val VALID_MS = 1_500L
     }
--- a/routing/src/main/kotlin/auburnhall/routing/Router.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Router.kt
@@ -14,8 +14,6 @@
     val model: String?,
     /** Targets that this request has already been sent to. */
     val tried: Set<TargetKey> = emptySet(),
-    /** Whether the request may wait for a lease on a slot where no slot is free that is not leased. */
-    val mayAwaitLease: Boolean = false,
 )
 
 /** Routing result for one request. */
@@ -32,9 +30,6 @@
         val load: Int,
     ) : Choice
 
-    /** Every free slot is leased or about to be; a lease for this request is expected within one round. */
-    data object AwaitLease : Choice
-
     /** Every target takes more requests only later, the first one in [waitMs] milliseconds. */
     data class Limited(
         val waitMs: Long,
@@ -56,8 +51,6 @@
     private val unreported: UnreportedRequests,
     private val hasIdleConnection: (Address) -> Boolean,
 ) {
-    private val leases = load.leases
-
     /**
      * Chooses among [targets], all of which can serve [requirements]; [waitMs] returns the time, in milliseconds, until
      * a target takes a request, 0 if it does now.
@@ -73,26 +66,10 @@
         val ready = pool.filter { waitMs(it) == 0L }
         if (ready.isEmpty() && pool.isNotEmpty()) return Choice.Limited(pool.minOf(waitMs))
         val (slow, others) = ready.partition { it.key in health.slow }
-        val leased = others.firstOrNull { leases.isLeased(it.key.text.hashCode()) }
-        val preferred =
-            when {
-                leased != null -> Choice.Send(leased, load.total(leased.key).requests)
-                requirements.mayAwaitLease && slow.isEmpty() && isShort(targets) -> Choice.AwaitLease
-                else -> spread(others)
-            }
+        val preferred = spread(others)
         return if (preferred is Choice.Send || slow.isEmpty()) preferred else orSlow(preferred, spread(slow))
     }
 
-    /** Whether leases are granted and [targets] have so few free slots that these are given out by lease only. */
-    private fun isShort(targets: List<Target>): Boolean {
-        if (!leases.active || targets.isEmpty()) return false
-        val free = targets.sumOf { (it.slots - requestsAndReserved(it)).coerceAtLeast(0) }
-        return SlotLeases.isShort(free, unreported.processCount)
-    }
-
-    private fun requestsAndReserved(target: Target) =
-        load.total(target.key).requests + leases.reservedByOthers(target.key.text.hashCode())
-
     /** Prefers a slow target with a free slot to queueing, and any slow target to none. */
     private fun orSlow(
         preferred: Choice,
@@ -105,13 +82,9 @@
         val totals = targets.map { load.total(it.key) }
         val slots = IntArray(targets.size) { targets[it].slots }
         val connected = BooleanArray(targets.size) { hasIdleConnection(targets[it].worker.address) }
-        val reserved = IntArray(targets.size) { leases.reservedByOthers(targets[it].key.text.hashCode()) }
-        val loads =
-            DoubleArray(targets.size) {
-                totals[it].weight + reserved[it] * load.typicalWeight + penalty(targets[it], connected[it])
-            }
+        val loads = DoubleArray(targets.size) { totals[it].weight + penalty(targets[it], connected[it]) }
         val level = FillLevel(loads, slots, DoubleArray(targets.size) { preference(targets[it], connected[it]) })
-        val free = targets.indices.filter { totals[it].requests + reserved[it] < slots[it] }
+        val free = targets.indices.filter { totals[it].requests < slots[it] }
         return if (free.isEmpty()) {
             val least = level.choose(targets.indices.toList().toIntArray(), 0.0, random)
             Choice.Full(targets[least], totals[least].requests)
--- a/routing/src/main/kotlin/auburnhall/routing/Targets.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Targets.kt
@@ -47,12 +47,6 @@
     private val byService =
         if (evacuated.isEmpty()) all else all.mapValues { (_, targets) -> targets.filterNot(::isEvacuated) }
 
-    /** The targets of each pool that has any. */
-    val pools: Map<TargetPool, List<Target>> =
-        byService.entries
-            .flatMap { (service, targets) -> targets.groupBy { TargetPool(service, it.model) }.entries }
-            .associate { it.key to it.value }
-
     /** Targets of [service] that serve [model]; for plain services [model] is ignored. */
     fun of(
         service: String,
--- a/routing/src/main/kotlin/auburnhall/routing/UnreportedRequests.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/UnreportedRequests.kt
@@ -8,8 +8,6 @@
     /** Number of processes, this one included. */
     private val processes: () -> Int,
 ) {
-    /** Number of processes, this one included. */
-    val processCount: Int get() = processes()
     private val meanDurationMs = HashMap<String, Double>()
 
     /** A request was at a target of [served], a model or a plain service, for [durationMs] milliseconds. */
