--- a/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/CallerConnection.kt
@@ -7,7 +7,6 @@
 import auburnhall.core.CallerLimits
 import auburnhall.core.Clock
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.util.ReferenceCountUtil
@@ -19,7 +18,7 @@
     limits: CallerLimits,
     handler: RequestHandler,
     private val server: HttpServer,
-) : ChannelInboundHandlerAdapter() {
+) : InboundHandler() {
     private val timeouts = CallerTimeouts(limits, clock)
     private val queue = RequestQueue(limits, clock, handler, server, timeouts)
     private lateinit var context: ChannelHandlerContext
@@ -27,10 +26,7 @@
 
     /** Records when bytes arrive, before they are decoded, and tells the response whether the caller keeps up. */
     val arrivalHandler =
-        object : ChannelInboundHandlerAdapter() {
-            // Without this, Netty reads the annotations of the class, which takes long when a process starts.
-            override fun isSharable() = false
-
+        object : InboundHandler() {
             override fun channelRead(
                 ctx: ChannelHandlerContext,
                 message: Any,
@@ -45,9 +41,6 @@
             }
         }
 
-    // Without this, Netty reads the annotations of the class, which takes long when a process starts.
-    override fun isSharable() = false
-
     /** See [RequestQueue.busy]. */
     val busy: Boolean get() = queue.busy
 
--- a/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
@@ -13,7 +13,6 @@
 import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandler
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.channel.socket.ChannelInputShutdownEvent
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpMethod
@@ -124,10 +123,7 @@
     }
 
     /** Comes before the decoder, which ends a response without framing when it sees that the peer has ended. */
-    private inner class InputHandler : ChannelInboundHandlerAdapter() {
-        // Without this, Netty reads the annotations of the class, which takes long when a process starts.
-        override fun isSharable() = false
-
+    private inner class InputHandler : InboundHandler() {
         override fun channelRead(
             ctx: ChannelHandlerContext,
             message: Any,
@@ -150,10 +146,7 @@
         }
     }
 
-    private inner class MessageHandler : ChannelInboundHandlerAdapter() {
-        // Without this, Netty reads the annotations of the class, which takes long when a process starts.
-        override fun isSharable() = false
-
+    private inner class MessageHandler : InboundHandler() {
         override fun handlerAdded(ctx: ChannelHandlerContext) {
             context = ctx
         }
