--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
@@ -25,7 +25,7 @@
 private const val LIMITS = 10
 private const val EVACUATIONS = 11
 
-/** Those from 11 to 29 are for load reports and evacuations. */
+/** The numbers from 12 to 29 are kept for load reports. */
 private const val COLDNESS = 30
 
 /** Status of a replica as one process reports it. */
