Log when the removal of a worker is deferred

Cause: the hypotheses on DRAIN differ in whether, and for how long, a process goes on using a worker whose entry is gone; nothing was written until the removal took effect. Change: event worker.removal_deferred with the worker and the time.

--- a/entry/src/main/kotlin/auburnhall/entry/WorkerRegistry.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/WorkerRegistry.kt
@@ -66,6 +66,11 @@
         if (key !in entries) return
         if (storeWasUnavailable()) {
             removeAtMs[key] = clock.nowMs() + REGISTRATION_GRACE_MS
+            events.log(
+                "worker.removal_deferred",
+                "worker" to entries[key]?.worker?.id,
+                "for_ms" to REGISTRATION_GRACE_MS,
+            )
         } else {
             remove(key)
         }
