--- a/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
@@ -84,6 +84,11 @@
         writeWorker(index)
     }
 
+    /** The worker [index] leaves without having drained. */
+    fun removeWorker(index: Int) {
+        store.remove(workers[index].key)
+    }
+
     /** Restores [copy]; if [rewritten], operator and workers write again soon what they had written. */
     fun restore(
         copy: FakeKeyValueStore.Copy,
@@ -199,7 +204,31 @@
         val plane = ControlPlane(context, UNUSED_WORKERS, this, relayFrom) { peer, _ -> sourceOf(peer) }
         val quarantined = HashSet<String>()
         val leading: Boolean get() = plane.isLeading
-        var cut by client::cut
+
+        /** Whether neither the store nor other processes reach it. */
+        var cut = false
+            set(value) {
+                field = value
+                client.cut = value || cutFromStore
+            }
+
+        /** Whether the store does not answer it, while other processes reach it. */
+        var cutFromStore = false
+            set(value) {
+                field = value
+                client.cut = value || cut
+            }
+
+        /** Where its last changes come from: the name of a process, or `store`. */
+        val source: Any? get() =
+            events.events
+                .lastOrNull { it.name == "relay.chosen" }
+                ?.details
+                ?.toMap()
+                ?.get("source")
+
+        /** Whether the store refuses its calls at once, and serves the other processes. */
+        var turnedAway by client::turnedAway
         private val exchange = EvacuationExchange(name, PeerRuntime(time, scheduler, random), ::send, events)
 
         /** The evacuated data centres as of the last state; null before the first, since it does not serve then. */
--- a/test/src/main/kotlin/auburnhall/test/FakeStoreClient.kt
+++ b/test/src/main/kotlin/auburnhall/test/FakeStoreClient.kt
@@ -27,6 +27,14 @@
     /** Whether calls get no answer; those that write may have been applied. */
     var cut = false
 
+    /** Whether the store turns this process away and serves others: its calls fail at once, also those that wait. */
+    var turnedAway = false
+        set(value) {
+            field = value
+            if (value) pending.toList().forEach { it() }
+        }
+    private val pending = LinkedHashSet<() -> Unit>()
+
     /** Whether the process has ended: its callbacks are not called any more. */
     var ended = false
 
@@ -71,14 +79,19 @@
         send: (StoreCallback<T>) -> Unit,
     ) {
         var finished = false
+        lateinit var refuse: () -> Unit
         val finish: (Result<T, StoreError>) -> Unit = { result ->
             if (!finished && !ended) {
                 finished = true
+                pending.remove(refuse)
                 done(result)
             }
         }
+        refuse = { finish(Err(StoreError.TurnedAway(UNAVAILABLE))) }
+        pending.add(refuse)
         scheduler.after(waitMs + TIMEOUT_MS) { finish(Err(StoreError.NoAnswer(PEER, "no response in time"))) }
-        if (cut || ended) return
+        if (turnedAway) scheduler.after(1, refuse)
+        if (cut || ended || turnedAway) return
         send { result ->
             val sentInEra = store.era
             scheduler.after(0) { if (!cut && !finished) onResponse(sentInEra) { finish(result) } }
@@ -97,6 +110,7 @@
 
     private companion object {
         const val TIMEOUT_MS = 800L
+        const val UNAVAILABLE = 503
         val PEER = Address("127.0.0.1", 1)
     }
 }
