End the belief in an outage of the store that another process does not know of (DRAIN)

What callers saw: their requests reached workers after their drain time. Cause: a process whose last request to the store failed held the store to be unavailable until the store itself answered. One that then took its changes from another process never asked again, and used each removed worker 2.5 s longer, for the rest of its life. Change: changes relayed by a process that knows of no outage end the belief.

--- a/entry/src/main/kotlin/auburnhall/entry/StoreAvailability.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreAvailability.kt
@@ -30,6 +30,13 @@
         context.events.log("store.regained", "after_ms" to now - lostSinceMs)
     }
 
+    /** Another process has the store's changes and knows of no outage: only this process's own request failed. */
+    fun onAvailableToOthers() {
+        val lostSinceMs = lostAtMs ?: return
+        lostAtMs = null
+        context.events.log("store.available_to_others", "after_ms" to context.clock.nowMs() - lostSinceMs)
+    }
+
     /** The store was restored: entries that the copy lacks are written again, or expire, as after an outage. */
     fun onRestored() {
         regainedAtMs = context.clock.nowMs()
--- a/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
@@ -151,6 +151,7 @@
             return
         }
         if (peer == null) availability.onAnswer()
+        if (peer != null && !received.storeWasUnavailable) availability.onAvailableToOthers()
         sourceLostStore = received.storeWasUnavailable
         upToDateAtMs = context.clock.nowMs() - received.ageMs
         val batch = received.changes
