Take a failed request to the store for an outage only when no process had an answer (DRAIN)

What callers saw: their requests reached workers after their drain time. Cause: any failed request of a process, a watch that was cut or one refusal, was taken for an outage of the store in which leases of live workers expire. Workers that were removed in the 2.5 s after the next answer stayed in use for 2.5 s more, and the controller passed the belief on to all processes. The store turned 44 machines away from 2.5 to 11.5 s: 14 and 15 of them removed the workers of 12.1 and 12.5 s 3.1 s later than the first. It turned the controller away at 17.5 s: 59 processes removed the worker of 17.46 s up to 3.26 s later than the others; the bound is 3 s. Change: processes pass on in their load reports when they last had all changes of the store (StoreSightings, without loops). A loss is an outage only if no process had an answer for 1 s; removals are then deferred to 2.5 s after its end, not from each removal on. The fake store fails waits that end in an outage, as its other calls.

--- a/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
+++ b/core/src/main/kotlin/auburnhall/core/KeyValueStore.kt
@@ -104,6 +104,8 @@
     data class NoAnswer(
         val peer: Address,
         val cause: String,
+        /** Whether the store, or its machine, closed or refused the connection. */
+        val closedByPeer: Boolean = false,
     ) : StoreError
 }
 
--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -38,6 +38,7 @@
 /** Owns the components of the control thread and runs their timer. */
 class ControlPlane(
     private val context: ControlContext,
+    sightings: StoreSightings,
     workers: WorkerClient,
     listener: ControlListener,
     relayMinProcesses: Int,
@@ -45,10 +46,10 @@
 ) : MirrorListener,
     LeadershipListener,
     ProcessDirectory {
-    private val mirror: StoreMirror = StoreMirror(context, this, ControlTiming())
+    private val mirror: StoreMirror = StoreMirror(context, this, ControlTiming(), sightings)
     private val view =
         StoreView(context.settings.processName, context.events, listener, context.clock, MirroredEvacuations()) {
-            mirror.storeWasUnavailable
+            mirror.expiryUntilMs
         }
 
     /** Relays the store's changes to other processes. */
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -56,6 +56,10 @@
             "auburnhall_leading",
             "1 while this process is the elected controller of the replicas, 0 otherwise.",
         ) { if (plane.isLeading) 1 else 0 }
+        metrics.gauge(
+            "auburnhall_store_unseen_seconds",
+            "Time since the store was last known to answer any process, in seconds.",
+        ) { traffic.sightings.lastMs?.let { (clock.nowMs() - it) / MS_PER_SECOND } ?: Double.NaN }
         metrics.gauge("auburnhall_log_dropped_total", "Log lines that were dropped.") { log.droppedLines }
         metrics.models { plane.replicas.status }
         metrics.quarantinedParts(clock) { traffic.verdicts.quarantined }
@@ -102,7 +106,8 @@
         val bufferedClient = BufferedHttpClient(client, control)
         val store = CountedStore(HttpStore(client, bufferedClient) { settings.storeAddress }, metrics::onStoreCall)
         val context = ControlContext(settings, store, clock, control, random, log)
-        return ControlPlane(context, WorkerClient(bufferedClient), bridge, options.relayMinProcesses) { name, address ->
+        val orders = WorkerClient(bufferedClient)
+        return ControlPlane(context, traffic.sightings, orders, bridge, options.relayMinProcesses) { name, address ->
             PeerChangeSource(name, address, bufferedClient)
         }
     }
@@ -126,6 +131,7 @@
     }
 
     private companion object {
+        const val MS_PER_SECOND = 1_000.0
         const val LOG_FLUSH_TIMEOUT_MS = 100L
 
         /** On a quarter of a core, a process has served its first request before. */
--- a/entry/src/main/kotlin/auburnhall/entry/LoadExchange.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/LoadExchange.kt
@@ -6,9 +6,7 @@
  */
 package auburnhall.entry
 
-import auburnhall.core.Clock
 import auburnhall.core.ScheduledTask
-import auburnhall.core.Scheduler
 import auburnhall.core.Settings
 import auburnhall.routing.CollectorSelector
 import auburnhall.routing.LoadCollector
@@ -18,11 +16,11 @@
 /** Sends the load reports of this process and handles those of others. Traffic thread only. */
 class LoadExchange(
     settings: Settings,
-    private val clock: Clock,
-    private val scheduler: Scheduler,
+    private val runtime: PeerRuntime,
     private val loadTracker: LoadTracker,
     private val sender: PeerSender,
 ) {
+    private val clock = runtime.clock
     private val self = settings.processName
     private val dataCentre = settings.dataCentre
     private val collectorSelector = CollectorSelector(clock, self)
@@ -56,6 +54,7 @@
     /** Handles a load report of one process or a total over several. */
     fun onMessage(message: PeerMessage) {
         val loads = message.loads()
+        message.storeAgeMs?.let { runtime.sightings.onReport(message.scope, it) }
         if (!direct && message.scope != LoadScope.ALL) wakeBy(clock.nowMs())
         when (message.scope) {
             LoadScope.PROCESS ->
@@ -74,7 +73,7 @@
         if (atMs >= timerAtMs) return
         timer?.cancel()
         timerAtMs = atMs
-        timer = scheduler.after((atMs - clock.nowMs()).coerceAtLeast(0), ::sendDue)
+        timer = runtime.scheduler.after((atMs - clock.nowMs()).coerceAtLeast(0), ::sendDue)
     }
 
     private fun sendDue() {
@@ -141,7 +140,8 @@
             val due = schedule.dueAtMs(loads, periodMs()) <= clock.nowMs()
             if (due) {
                 schedule.onSent(loads)
-                sender.send(PeerMessage.ofLoads(self, loads, scope, dataCentre), names)
+                val report = PeerMessage.ofLoads(self, loads, scope, dataCentre)
+                sender.send(report.copy(storeAgeMs = runtime.sightings.ageMs(scope)), names)
             }
             wakeBy(schedule.dueAtMs(loads, periodMs()))
             return due
--- a/entry/src/main/kotlin/auburnhall/entry/PartExchange.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PartExchange.kt
@@ -19,6 +19,7 @@
     val clock: Clock,
     val scheduler: Scheduler,
     val random: Random,
+    val sightings: StoreSightings = StoreSightings(clock),
 )
 
 /** Sends the reports of [process] and passes those received to [guard]. Traffic thread only. */
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessage.kt
@@ -24,8 +24,9 @@
 private const val PART_REPORT = 9
 private const val LIMITS = 10
 private const val EVACUATIONS = 11
+private const val STORE_AGE = 12
 
-/** The numbers from 12 to 29 are kept for load reports. */
+/** The numbers from 13 to 29 are kept for load reports. */
 private const val COLDNESS = 30
 
 /** Status of a replica as one process reports it. */
@@ -84,6 +85,8 @@
     @ProtoNumber(EVACUATIONS) val evacuations: List<ReportedEvacuation> = emptyList(),
     /** Workers that have stated that they are cold; empty in the other messages. */
     @ProtoNumber(COLDNESS) val coldness: List<ReportedColdness> = emptyList(),
+    /** Milliseconds since the store was last known to answer, in a load report; null if it never was. */
+    @ProtoNumber(STORE_AGE) val storeAgeMs: Int? = null,
 ) {
     /** The loads of a load report, by target hash. */
     fun loads(): LoadsByHash =
--- a/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/PeerMessenger.kt
@@ -40,7 +40,7 @@
 ) {
     private val process = settings.processName
     private val channel = PeerChannel(loop, settings.peerPort, events, ::onMessage)
-    private val loads = LoadExchange(settings, runtime.clock, runtime.scheduler, routing.load, channel)
+    private val loads = LoadExchange(settings, runtime, routing.load, channel)
 
     /** Exchanges reports about parts of prompts. */
     val parts = PartExchange(process, runtime, guards.parts, channel)
--- a/entry/src/main/kotlin/auburnhall/entry/StoreAvailability.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreAvailability.kt
@@ -1,5 +1,7 @@
 /*
- * Tracks whether the store is available to this process, and retries failed requests with exponential backoff.
+ * Tracks whether the store answers this process, and whether it had an outage, in which live workers cannot renew their
+ * entries. A failed request is no outage: a watch may be cut, and the store may turn away this process only. It was one
+ * if no process had an answer for so long that entries can expire. Retries failed requests with exponential backoff.
  */
 package auburnhall.entry
 
@@ -9,25 +11,39 @@
 /** Tracks the outcome of requests to the store. Control thread only. */
 class StoreAvailability(
     private val context: ControlContext,
+    private val sightings: StoreSightings,
 ) {
     private var failures = 0
     private var lostAtMs: Long? = null
-    private var regainedAtMs: Long? = null
+    private var failedAtMs = 0L
 
-    /** Whether the last request failed. */
+    /** The last answer to any process before a request of this one failed; null once the store has answered since. */
+    private var unansweredSinceMs: Long? = null
+    private var outageEndedAtMs: Long? = null
+
+    /** Whether the last request of this process failed. */
     val lost: Boolean get() = lostAtMs != null
 
-    /** Whether the store is or recently was unavailable, so that leases of live workers and processes may expire. */
-    val wasUnavailable: Boolean get() = lost || regainedAtMs?.let { context.clock.nowMs() - it < EXPIRY_MS } == true
+    /**
+     * Until when entries of live workers and processes may be missing since the store had an outage, in milliseconds of
+     * the monotonic clock; null if none may be.
+     */
+    fun expiryUntilMs(): Long? {
+        update()
+        val now = context.clock.nowMs()
+        val inOutage = unansweredSinceMs?.let { now - it >= MIN_OUTAGE_MS } == true
+        val untilMs = if (inOutage) now + EXPIRY_MS else outageEndedAtMs?.plus(EXPIRY_MS)
+        return untilMs?.takeIf { it > now }
+    }
 
     /** A request succeeded. */
     fun onAnswer() {
-        failures = 0
-        val lostSinceMs = lostAtMs ?: return
         val now = context.clock.nowMs()
+        failures = 0
+        sightings.onSeen(now)
+        update()
+        lostAtMs?.let { context.events.log("store.regained", "after_ms" to now - it) }
         lostAtMs = null
-        regainedAtMs = now
-        context.events.log("store.regained", "after_ms" to now - lostSinceMs)
     }
 
     /** Another process has the store's changes and knows of no outage: only this process's own request failed. */
@@ -39,7 +55,7 @@
 
     /** The store was restored: entries that the copy lacks are written again, or expire, as after an outage. */
     fun onRestored() {
-        regainedAtMs = context.clock.nowMs()
+        outageEndedAtMs = context.clock.nowMs()
     }
 
     /** A request failed with [error]; calls [retry] after the backoff. */
@@ -47,8 +63,12 @@
         error: StoreError,
         retry: () -> Unit,
     ) {
+        update()
+        val now = context.clock.nowMs()
+        failedAtMs = now
+        if (unansweredSinceMs == null) unansweredSinceMs = lastAnswerBefore(error, now)
         if (lostAtMs == null) {
-            lostAtMs = context.clock.nowMs()
+            lostAtMs = now
             context.events.log("store.lost", "error" to error)
         }
         val backoffMs = FIRST_BACKOFF_MS shl failures.coerceAtMost(MAX_BACKOFF_DOUBLINGS)
@@ -56,10 +76,36 @@
         context.scheduler.after(backoffMs + context.random.nextLong(backoffMs)) { retry() }
     }
 
+    /** Takes into account what other processes have seen; call at intervals well below [MIN_OUTAGE_MS]. */
+    fun update() {
+        val since = unansweredSinceMs ?: return
+        val seen = sightings.lastMs ?: return
+        if (seen <= failedAtMs) {
+            unansweredSinceMs = maxOf(since, seen)
+            return
+        }
+        unansweredSinceMs = null
+        if (seen - since < MIN_OUTAGE_MS) return
+        outageEndedAtMs = seen
+        context.events.log("store.outage_ended", "after_ms" to seen - since)
+    }
+
+    /** What closes a connection was there until then; anything else may have gone on for longer. */
+    private fun lastAnswerBefore(
+        error: StoreError,
+        now: Long,
+    ): Long {
+        val closed = error is StoreError.NoAnswer && error.closedByPeer
+        return if (closed) now else sightings.lastMs ?: now
+    }
+
     private companion object {
         const val FIRST_BACKOFF_MS = 50L
         const val MAX_BACKOFF_DOUBLINGS = 3
 
+        /** A worker that renews its entry every 1.2 s is removed after 3.6 s: of these, it misses two by itself at most. */
+        const val MIN_OUTAGE_MS = 1_000L
+
         /** Time after the store is available again in which leases that were not renewed may still expire. */
         const val EXPIRY_MS = 2_500L
     }
--- a/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreMirror.kt
@@ -49,9 +49,10 @@
     private val context: ControlContext,
     private val listener: MirrorListener,
     private val timing: MirrorTiming,
+    private val sightings: StoreSightings,
 ) : RelayedState {
     private val items = MirroredItems(listener, context.events)
-    private val availability = StoreAvailability(context)
+    private val availability = StoreAvailability(context, sightings)
     private val loader = StoreLoader(context, availability, ::onLoaded)
     private var lastWatchId = 0L
     private var source: ChangeSource? = null
@@ -69,7 +70,11 @@
 
     override val ageMs: Long? get() = upToDateAtMs?.let { context.clock.nowMs() - it }
 
-    override val storeWasUnavailable: Boolean get() = sourceLostStore || availability.wasUnavailable
+    override val storeWasUnavailable: Boolean get() = expiryUntilMs != null
+
+    /** See [StoreAvailability.expiryUntilMs]; also as the source of the last changes knows it. */
+    val expiryUntilMs: Long?
+        get() = availability.expiryUntilMs() ?: (context.clock.nowMs() + SOURCE_EXPIRY_MS).takeIf { sourceLostStore }
 
     /** Whether the last request to the store failed. */
     val disconnected: Boolean get() = availability.lost
@@ -99,6 +104,7 @@
 
     /** Switches to another source, usually the store, when the state relayed by another process is too old. */
     fun checkAge() {
+        availability.update()
         val peer = source?.peer ?: return
         val selector = relaySelector ?: return
         val age = ageMs ?: 0
@@ -153,7 +159,7 @@
         if (peer == null) availability.onAnswer()
         if (peer != null && !received.storeWasUnavailable) availability.onAvailableToOthers()
         sourceLostStore = received.storeWasUnavailable
-        upToDateAtMs = context.clock.nowMs() - received.ageMs
+        upToDateAtMs = (context.clock.nowMs() - received.ageMs).also(sightings::onSeen)
         val batch = received.changes
         batch.changes.forEach(items::apply)
         position = position.copy(revision = maxOf(revision, batch.at))
@@ -188,5 +194,8 @@
          * store did not respond may never be answered.
          */
         const val RECOVERY_WATCH_WAIT_MS = 300L
+
+        /** The source does not say when the outage ended; live workers register again within about 2 s of that. */
+        const val SOURCE_EXPIRY_MS = 2_500L
     }
 }
--- a/entry/src/main/kotlin/auburnhall/entry/StoreView.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreView.kt
@@ -43,12 +43,12 @@
     private val listener: ViewListener,
     clock: Clock,
     source: EvacuationSource,
-    /** Whether leases may have expired because the store was unavailable. */
-    storeWasUnavailable: () -> Boolean,
+    /** Until when entries of live owners may be missing because the store was unavailable; null if none may be. */
+    expiryUntilMs: () -> Long?,
 ) {
-    private val registry = WorkerRegistry(clock, events, storeWasUnavailable)
+    private val registry = WorkerRegistry(clock, events, expiryUntilMs)
     private val trackers = HashMap<String, ReplicaTracker>()
-    private val processes = PeerRegistry(processName, clock, storeWasUnavailable)
+    private val processes = PeerRegistry(processName, clock) { expiryUntilMs() != null }
     private val evacuations = EvacuationRegistry(clock, source)
     private var revision = 0L
 
--- a/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
@@ -63,6 +63,9 @@
     /** Runs tasks on the traffic thread. */
     val scheduler = EventLoopScheduler(loop)
     private val load = LoadTracker(clock)
+
+    /** When the store was last known to answer any process. */
+    val sightings = StoreSightings(clock)
     private val unreported = UnreportedRequests { peerMessenger.processes }
     private val health = TargetHealth(clock)
     private val failureDetector = ReplicaFailureDetector(clock)
@@ -104,7 +107,7 @@
         PeerMessenger(
             settings(),
             loop,
-            PeerRuntime(clock, scheduler, random),
+            PeerRuntime(clock, scheduler, random, sightings),
             listener,
             RoutingState(
                 load,
--- a/entry/src/main/kotlin/auburnhall/entry/WorkerRegistry.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/WorkerRegistry.kt
@@ -1,6 +1,6 @@
 /*
  * The workers that are registered in the store. Leases also expire because the store is unavailable; live workers then
- * register again shortly after it is available, so a removal in that time takes effect only after a grace period. A
+ * register again shortly after it is available, so a removal in that time takes effect only at its end. A
  * restored store holds older entries: those of workers that have since written others, or have left, are not used.
  */
 package auburnhall.entry
@@ -20,8 +20,8 @@
 class WorkerRegistry(
     private val clock: Clock,
     private val events: EventListener,
-    /** Whether leases may have expired because the store was unavailable. */
-    private val storeWasUnavailable: () -> Boolean,
+    /** Until when live workers may be missing because the store was unavailable; null if none may be. */
+    private val expiryUntilMs: () -> Long?,
 ) {
     private val entries = HashMap<String, WorkerEntry>()
     private val gone = HashMap<String, GoneEntry>()
@@ -61,22 +61,15 @@
         }
     }
 
-    /** An entry was removed; takes effect after [REGISTRATION_GRACE_MS] when the store was unavailable. */
+    /** An entry was removed; takes effect only when live workers have registered again after an outage of the store. */
     fun onRemoved(key: String) {
-        if (key !in entries) return
-        if (storeWasUnavailable()) {
-            removeAtMs[key] = clock.nowMs() + REGISTRATION_GRACE_MS
-            events.log(
-                "worker.removal_deferred",
-                "worker" to entries[key]?.worker?.id,
-                "for_ms" to REGISTRATION_GRACE_MS,
-            )
-        } else {
-            remove(key)
-        }
+        val entry = entries[key] ?: return
+        val untilMs = expiryUntilMs() ?: return remove(key)
+        removeAtMs[key] = untilMs
+        events.log("worker.removal_deferred", "worker" to entry.worker.id, "for_ms" to untilMs - clock.nowMs())
     }
 
-    /** Removes workers that did not register again within the grace period; returns whether there were any. */
+    /** Removes workers that did not register again in time; returns whether there were any. */
     fun expire(): Boolean {
         val now = clock.nowMs()
         val due = removeAtMs.filterValues { it <= now }.keys.toList()
@@ -105,9 +98,6 @@
     )
 
     private companion object {
-        /** Live workers have registered again about two seconds after the store is available. */
-        const val REGISTRATION_GRACE_MS = 2_500L
-
         /** Several times the age of a copy from which the store is restored. */
         const val GONE_MEMORY_MS = 60_000L
     }
--- a/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
@@ -45,7 +45,7 @@
         )
     }
 
-    private fun mirrorOf(recorded: MirrorListener) = StoreMirror(context(), recorded, FixedTiming)
+    private fun mirrorOf(recorded: MirrorListener) = StoreMirror(context(), recorded, FixedTiming, StoreSightings(time))
 
     private class RecordingMirrorListener : MirrorListener {
         val keys = HashMap<String, String>()
@@ -135,7 +135,7 @@
     @Test
     fun `entries that expire while the store is unavailable are removed unless written again in time`() {
         var storeUnavailable = true
-        val registry = WorkerRegistry(time, events) { storeUnavailable }
+        val registry = WorkerRegistry(time, events) { (time.nowMs() + 2_500).takeIf { storeUnavailable } }
         registry.onPut(entry("servers/i-1"))
         registry.onPut(entry("servers/i-2"))
         registry.onRemoved("servers/i-1")
@@ -214,7 +214,7 @@
     @Test
     fun `a hundred processes elect a controller within a second and with few calls`() {
         val recorded = RecordingMirrorListener()
-        StoreMirror(context(), recorded, SlowTiming).start()
+        StoreMirror(context(), recorded, SlowTiming, StoreSightings(time)).start()
         val election = KnownElection(100) { Leadership.CONTROLLER_KEY !in recorded.keys }
         val processes =
             List(100) { Leadership(context("p$it", seed = it), RecordingLeadershipListener(), election) }
@@ -287,7 +287,7 @@
                     override val era = 1L
                     override val readAtMs = 0L
                 },
-            ) { false }
+            ) { null }
         listOf(5L, 9L, 7L).forEach { version ->
             view.onPut(
                 StoreItem("op/config", """{"version":$version,"routes":[],"services":[]}""".toByteArray(), version),
--- a/entry/src/test/kotlin/auburnhall/entry/LimitExchangeTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/LimitExchangeTest.kt
@@ -38,7 +38,7 @@
         private val share = DemandShare(time, load, { FLEET }) { targets }
         private val limits = WorkerLimits(time, share) { name.drop(1).toDouble() / FLEET }
         private val exchange = LimitExchange(name, runtime, limits, this, EventListener.NONE)
-        private val loads = LoadExchange(settings(name), time, time, load, this)
+        private val loads = LoadExchange(settings(name), runtime, load, this)
 
         fun start() {
             val others = processes.filter { it !== this }
--- a/entry/src/test/kotlin/auburnhall/entry/LoadExchangeTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/LoadExchangeTest.kt
@@ -9,6 +9,7 @@
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertTrue
 import org.junit.jupiter.api.Test
+import kotlin.random.Random
 
 /** Exchanges load reports between simulated processes in three data centres; a datagram takes one millisecond. */
 class LoadExchangeTest {
@@ -21,7 +22,9 @@
         val dataCentre: String,
     ) : PeerSender {
         val load = LoadTracker(time)
-        val exchange = LoadExchange(settings(name, dataCentre), time, time, load, this)
+        val sightings = StoreSightings(time)
+        private val runtime = PeerRuntime(time, time, Random(1), sightings)
+        val exchange = LoadExchange(settings(name, dataCentre), runtime, load, this)
         var failed = false
 
         fun start() {
@@ -80,6 +83,22 @@
         assertEquals(emptyMap<String, Int>(), differing(70))
     }
 
+    @Test
+    fun `what one process has seen of the store reaches all, and does not come back younger than it was`() {
+        startProcesses(20)
+        val seenAtMs = time.nowMs()
+        processes.values
+            .last()
+            .sightings
+            .onSeen(seenAtMs)
+        repeat(10) { round ->
+            processes.values.forEach { if (round % 2 == 0) it.load.begin(KEY, 10) else it.load.end(KEY, 10) }
+            time.advance(1_000)
+            val lastMs = processes.values.map { checkNotNull(it.sightings.lastMs) }
+            assertTrue(lastMs.all { it in seenAtMs..seenAtMs + DELAY_SUM_MS }, lastMs.toString())
+        }
+    }
+
     @Test
     fun `a failed collector is replaced within 2500 ms`() {
         startProcesses(90)
@@ -132,6 +151,8 @@
     }
 
     private companion object {
+        /** Of the four messages through which a report reaches a process of another data centre. */
+        const val DELAY_SUM_MS = 4L
         val KEY = TargetKey("m/1@1")
     }
 }
--- a/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/RelayTest.kt
@@ -35,7 +35,7 @@
         private val settings = settings(name)
         private val ownStore = CutStore()
         private val context = ControlContext(settings, ownStore, time, time, Random(1), events)
-        val mirror: StoreMirror = StoreMirror(context, this, this)
+        val mirror: StoreMirror = StoreMirror(context, this, this, StoreSightings(time))
         val server = RelayServer(time, time, mirror)
         override var controller: String? = "n00"
         override val processes: Map<String, PeerProcess> get() = simulated.keys.associateWith { PeerProcess(it, "z") }
--- a/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/SimulatedFleet.kt
@@ -201,7 +201,8 @@
         private val random = Random(seed * 1_000 + start)
         val events = RecordingListener()
         private val context = ControlContext(settings, client, time, scheduler, random, events)
-        val plane = ControlPlane(context, UNUSED_WORKERS, this, relayFrom) { peer, _ -> sourceOf(peer) }
+        private val sightings = StoreSightings(time)
+        val plane = ControlPlane(context, sightings, UNUSED_WORKERS, this, relayFrom) { peer, _ -> sourceOf(peer) }
         val quarantined = HashSet<String>()
         val leading: Boolean get() = plane.isLeading
 
@@ -255,6 +256,20 @@
         fun start() {
             plane.start()
             exchange.start()
+            reportSightings()
+        }
+
+        private fun reportSightings() {
+            val ageMs = sightings.ageMs(LoadScope.PROCESS)
+            if (ageMs != null && reachable) {
+                processesByName.values.filter { it.reachable }.forEach {
+                    it.sightings.onReport(
+                        LoadScope.PROCESS,
+                        ageMs,
+                    )
+                }
+            }
+            scheduler.after(REPORT_PERIOD_MS) { reportSightings() }
         }
 
         fun end() {
@@ -327,6 +342,7 @@
         const val WORKERS = 6
         const val CHECK_PERIOD_MS = 20L
         const val DATAGRAM_LOSS = 0.03
+        const val REPORT_PERIOD_MS = 100L
 
         /** The configuration has no models, so no orders are sent. */
         val UNUSED_WORKERS =
--- a/entry/src/test/kotlin/auburnhall/entry/WorkerColdnessTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/WorkerColdnessTest.kt
@@ -10,7 +10,7 @@
 
 class WorkerColdnessTest {
     private val time = FakeScheduler()
-    private val registry = WorkerRegistry(time, EventListener.NONE) { false }
+    private val registry = WorkerRegistry(time, EventListener.NONE) { null }
     private var write = 0
 
     private fun put(
--- a/http/src/main/kotlin/auburnhall/http/BufferedHttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/BufferedHttpClient.kt
@@ -26,6 +26,8 @@
         val sent: Boolean,
         /** Whether the response was longer than the caller of [BufferedHttpClient] takes. */
         val tooLong: Boolean = false,
+        /** Whether the peer, or its machine, closed or refused the connection. */
+        val closedByPeer: Boolean = false,
     ) : BufferedResult
 }
 
@@ -95,7 +97,8 @@
 
         override fun onEnd() = finish(BufferedResult.Completed(status, headers, body.toByteArray()))
 
-        override fun onFailure(failure: CallFailure) = finish(BufferedResult.Failed(peer, failure.cause, failure.sent))
+        override fun onFailure(failure: CallFailure) =
+            finish(BufferedResult.Failed(peer, failure.cause, failure.sent, closedByPeer = failure.closedByPeer))
 
         fun finish(result: BufferedResult) {
             if (finished) return
--- a/test/src/main/kotlin/auburnhall/test/FakeKeyValueStore.kt
+++ b/test/src/main/kotlin/auburnhall/test/FakeKeyValueStore.kt
@@ -140,7 +140,7 @@
         count("watch")
         val watch = Watch(prefix, revision, done)
         watches.add(watch)
-        scheduler.after(waitMs) { watch.finish(Ok(StoreChanges(emptyList(), revision))) }
+        scheduler.after(waitMs) { watch.finish(outage?.let { Err(it) } ?: Ok(StoreChanges(emptyList(), revision))) }
         scheduler.after(delayMs) { watch.finishIfDue() }
     }
 
