--- a/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
@@ -45,6 +45,7 @@
 import auburnhall.routing.UnreportedRequests
 import auburnhall.routing.WorkerLimits
 import auburnhall.routing.WorkerNotices
+import auburnhall.routing.WorkerReachability
 import io.netty.channel.EventLoop
 import kotlin.random.Random
 
@@ -85,9 +86,10 @@
     private val limits = WorkerLimits(clock, share, coldWorkers) { peerMessenger.phase }
     private val guards = GatewayGuards(PartGuard(clock, verdicts, listener), limits, WorkerNotices(clock, listener))
     private val client = HttpClient(loop, clock)
+    private val reachability = WorkerReachability(clock, scheduler, listener)
     private val context: GatewayContext =
         GatewayContext(
-            GatewayRuntime(clock, scheduler, client),
+            GatewayRuntime(clock, scheduler, client, reachability),
             GatewayCodecs(PlatformCallerCodec, PlatformWorkerCodec),
             GatewayRouting(
                 Router(load, health, settings().dataCentre, random, unreported, client::hasIdleConnection),
@@ -140,6 +142,10 @@
         callers.onMemoryRefusal = {
             listener.log("request.no_memory", "peer" to it.peer, "held_bytes" to it.heldBytes, "limit" to it.limitBytes)
         }
+        client.onConnected = reachability::onHeard
+        metrics.gauge("auburnhall_isolated", "1 while this process reaches no worker, 0 otherwise.") {
+            if (reachability.isolated) 1 else 0
+        }
         val observer = ConnectionObserver(listener, metrics)
         observer.observe(callers)
         observer.observe(client)
--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -130,6 +130,7 @@
     fun send() {
         context.load.begin(target.key, unreadTokens)
         context.limits.onSent(target)
+        context.reachability.onTried(target.worker.address)
         val metadata =
             WorkerRequestMetadata(
                 timeLeftMs = accepted.deadlineMs - context.clock.nowMs(),
@@ -179,6 +180,7 @@
         headers: HttpHeaders,
         framing: Framing,
     ) {
+        context.reachability.onHeard()
         this.framing = framing
         val head = context.codecs.worker.read(status, headers)
         responseHead = head
@@ -197,6 +199,7 @@
     }
 
     override fun onContent(content: ByteBuf) {
+        context.reachability.onHeard()
         val bytes = ByteArray(content.readableBytes())
         content.readBytes(bytes)
         val fault =
@@ -259,6 +262,7 @@
     override fun onFailure(failure: CallFailure) {
         buffer.release()
         if (!failure.sent) sent = false
+        if (failure.step == CallStep.CONNECT) context.reachability.onConnectFailed(target.worker.address)
         listener.onFailure(this, failure)
     }
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
@@ -23,6 +23,7 @@
 import auburnhall.routing.UnreportedRequests
 import auburnhall.routing.WorkerLimits
 import auburnhall.routing.WorkerNotices
+import auburnhall.routing.WorkerReachability
 
 /** Called when a replica is suspected to have failed, so that the other processes can be notified. */
 fun interface SuspicionListener {
@@ -42,11 +43,12 @@
     }
 }
 
-/** Clock, scheduler and HTTP client of the traffic thread. */
+/** Clock, scheduler and HTTP client of the traffic thread, and whether the client reaches workers. */
 class GatewayRuntime(
     val clock: Clock,
     val scheduler: Scheduler,
     val client: HttpClient,
+    val reachability: WorkerReachability,
 )
 
 /** Codecs for the headers of callers and workers. */
@@ -103,6 +105,7 @@
     val clock = runtime.clock
     val scheduler = runtime.scheduler
     val client = runtime.client
+    val reachability = runtime.reachability
     val router = routing.router
     val load = routing.load
     val unreported = routing.unreported
--- a/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
@@ -35,6 +35,7 @@
 import auburnhall.routing.UnreportedRequests
 import auburnhall.routing.WorkerLimits
 import auburnhall.routing.WorkerNotices
+import auburnhall.routing.WorkerReachability
 import auburnhall.test.RecordingListener
 import io.netty.handler.codec.http.HttpHeaders
 import org.junit.jupiter.api.AfterEach
@@ -50,11 +51,12 @@
     private val unreported = UnreportedRequests { 1 }
     protected val health = TargetHealth(Clock.SYSTEM)
     protected val client = HttpClient(loop, Clock.SYSTEM)
+    private val reachability = WorkerReachability(Clock.SYSTEM, scheduler, events)
     protected val verdicts = PartVerdicts(PartGuardRuntime(Clock.SYSTEM, scheduler) { 0.0 }, events)
     protected val parts = PartGuard(Clock.SYSTEM, verdicts, events)
     protected val context: GatewayContext =
         GatewayContext(
-            GatewayRuntime(Clock.SYSTEM, scheduler, client),
+            GatewayRuntime(Clock.SYSTEM, scheduler, client, reachability),
             GatewayCodecs(TestCallerCodec, TestWorkerCodec),
             GatewayRouting(
                 Router(load, health, "z", Random(1), unreported) { true },
--- a/http/src/main/kotlin/auburnhall/http/HttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpClient.kt
@@ -24,6 +24,9 @@
     /** Called when bytes arrive that belong to no response that was awaited. */
     var onStrayBytes: (StrayBytes) -> Unit = { }
 
+    /** Called when a connection was established. */
+    var onConnected: () -> Unit = { }
+
     /** Number of open connections to all peers, in use or idle. */
     var openConnections = 0
         private set
@@ -101,6 +104,7 @@
     internal fun onOpened() {
         connects++
         openConnections++
+        onConnected()
     }
 
     internal fun onClosed(connection: ClientConnection) {
