--- a/core/src/main/kotlin/auburnhall/core/Settings.kt
+++ b/core/src/main/kotlin/auburnhall/core/Settings.kt
@@ -22,6 +22,8 @@
     /** Whether the whole system starts for the first time. */
     val firstStart: Boolean,
     val bounds: OperatorLimits,
+    /** Port at which this process takes requests that others pass on; null if it and the others do not do so. */
+    val helperPort: Int? = null,
 )
 
 /** Limits set by the operators. */
--- a/entry/src/main/kotlin/auburnhall/entry/Shutdown.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Shutdown.kt
@@ -18,7 +18,8 @@
     private val graceMs: () -> Long,
     private val exit: () -> Unit,
 ) {
-    private val server = traffic.callers
+    private val servers = listOf(traffic.callers, traffic.helped)
+    private val inProgress: Int get() = servers.sumOf { it.inProgress }
     private val scheduler = traffic.scheduler
     private var deadlineMs = Long.MAX_VALUE
     private var requestsEnded = false
@@ -31,26 +32,26 @@
     fun begin() {
         if (begun) return
         begun = true
-        server.draining = true
+        servers.forEach { it.draining = true }
         val now = clock.nowMs()
         val listensUntilMs = now + minOf(BALANCER_REACTION_MS, graceMs() / 2)
         deadlineMs = now + graceMs() - EXIT_MARGIN_MS
         traffic.gateway.stop = ProcessStop(listensUntilMs, deadlineMs)
-        events.log("process.stopping", "in_progress" to server.inProgress, "grace_ms" to graceMs())
+        events.log("process.stopping", "in_progress" to inProgress, "grace_ms" to graceMs())
         scheduler.after(listensUntilMs - now) { stopListening() }
     }
 
     private fun stopListening() {
-        server.stopListening()
+        servers.forEach { it.stopListening() }
         awaitRequests()
     }
 
     private fun awaitRequests() {
-        server.closeIdleConnections()
+        servers.forEach { it.closeIdleConnections() }
         val now = clock.nowMs()
         if (now >= deadlineMs && !requestsEnded) endRequests()
-        if (server.inProgress == 0 || now >= deadlineMs + SEND_TIMEOUT_MS) {
-            events.log("process.stopped", "in_progress" to server.inProgress)
+        if (inProgress == 0 || now >= deadlineMs + SEND_TIMEOUT_MS) {
+            events.log("process.stopped", "in_progress" to inProgress)
             exit()
         } else {
             scheduler.after(POLL_PERIOD_MS) { awaitRequests() }
@@ -59,7 +60,7 @@
 
     private fun endRequests() {
         requestsEnded = true
-        events.log("process.requests_ended", "in_progress" to server.inProgress)
+        events.log("process.requests_ended", "in_progress" to inProgress)
         traffic.gateway.endRequests()
     }
 
--- a/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
@@ -3,6 +3,7 @@
  */
 package auburnhall.entry
 
+import auburnhall.core.Address
 import auburnhall.core.CallerLimits
 import auburnhall.core.Clock
 import auburnhall.core.Configuration
@@ -21,6 +22,9 @@
 import auburnhall.gateway.GatewayRouting
 import auburnhall.gateway.GatewayRuntime
 import auburnhall.gateway.GatewayState
+import auburnhall.gateway.Helper
+import auburnhall.gateway.Helpers
+import auburnhall.gateway.PassedOnRequests
 import auburnhall.gateway.RetryBudgets
 import auburnhall.http.EventLoopScheduler
 import auburnhall.http.HttpClient
@@ -87,9 +91,16 @@
     private val guards = GatewayGuards(PartGuard(clock, verdicts, listener), limits, WorkerNotices(clock, listener))
     private val client = HttpClient(loop, clock)
     private val reachability = WorkerReachability(clock, scheduler, listener)
+    private val helpers =
+        Helpers(
+            clock,
+            random,
+            helperOf(settings().processName, settings().host, settings().dataCentre),
+            HttpClient(loop, clock),
+        )
     private val context: GatewayContext =
         GatewayContext(
-            GatewayRuntime(clock, scheduler, client, reachability),
+            GatewayRuntime(clock, scheduler, client, reachability, helpers),
             GatewayCodecs(PlatformCallerCodec, PlatformWorkerCodec),
             GatewayRouting(
                 Router(load, health, settings().dataCentre, random, unreported, client::hasIdleConnection),
@@ -130,6 +141,11 @@
     /** The server that callers connect to. */
     val callers = HttpServer(loop, clock, ::limits, gateway)
 
+    private val passedOn = PassedOnRequests(context, gateway)
+
+    /** The server that other processes pass requests on to. */
+    val helped = HttpServer(loop, clock, { limits().withOwnHeader() }, passedOn, sharing = callers)
+
     /** Whether a configuration is known. */
     val configured: Boolean get() = context.state.configuration != null
 
@@ -148,11 +164,20 @@
         }
         val observer = ConnectionObserver(listener, metrics)
         observer.observe(callers)
+        observer.observe(helped)
         observer.observe(client)
         metrics.gauge(
             "auburnhall_request_body_bytes",
             "Bytes of memory that the bodies of callers' requests take.",
         ) { callers.heldRequestBytes }
+        metrics.gauge(
+            "auburnhall_requests_passed_on_total",
+            "Requests sent to other processes since the start, each counted once for each of them.",
+        ) { helpers.sends }
+        metrics.gauge(
+            "auburnhall_requests_taken_over_total",
+            "Requests that other processes have passed on to this one since the start.",
+        ) { passedOn.taken }
         metrics.gauge("auburnhall_limited_workers", "Workers that name a limit for requests.") { limits.count }
         metrics.gauge("auburnhall_cold_workers", "Workers that are cold.") { coldWorkers.count }
         metrics.gauge("auburnhall_worker_connections", "Open connections to workers.") { client.openConnections }
@@ -177,6 +202,7 @@
     /** Binds the ports and starts to exchange load reports; call once, not on the traffic thread. */
     fun start() {
         callers.bind(settings().callerListenAddress).sync()
+        settings().helperPort?.let { helped.bind(Address(settings().host, it)).sync() }
         scheduler.run { peerMessenger.start(settings().host) }
     }
 
@@ -199,10 +225,27 @@
     fun onPeers(peers: Map<String, PeerProcess>) {
         evenShare.onPeers(peers.keys)
         peerMessenger.onPeers(peers)
+        val reachable = if (settings().helperPort == null) emptyMap() else peers
+        helpers.onProcesses(reachable.map { (name, process) -> helperOf(name, process.host, process.dataCentre) })
     }
 
     private fun retryBounds(): RetryBounds =
         settings().bounds.let { RetryBounds(it.retryRatio, it.retryWindowMs, it.extraRetries) }
 
+    /** Processes share the port to which requests are passed on; port 0 stands for none. */
+    private fun helperOf(
+        process: String,
+        host: String,
+        dataCentre: String,
+    ) = Helper(process, Address(host, settings().helperPort ?: 0), dataCentre)
+
+    /** The limits of requests that were passed on, which have a header more. */
+    private fun CallerLimits.withOwnHeader() = copy(maxHeaderBytes = maxHeaderBytes + OWN_HEADER_BYTES)
+
     private fun limits(): CallerLimits = context.state.configuration?.limits ?: CallerLimits.DEFAULT
+
+    private companion object {
+        /** More than the name of a process and a number take. */
+        const val OWN_HEADER_BYTES = 512
+    }
 }
--- a/gateway/src/main/kotlin/auburnhall/gateway/Filters.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Filters.kt
@@ -39,7 +39,17 @@
     val service: String,
     /** Time by which the response must be complete, in milliseconds of the monotonic clock. */
     val deadlineMs: Long,
+    /** Whether another process has passed it on to this one. */
+    val passedOn: Boolean = false,
 ) {
+    /** This request as [passOn] states it; unchanged if that is null. */
+    fun passedOn(passOn: PassOn?): AcceptedRequest =
+        if (passOn == null) {
+            this
+        } else {
+            copy(route = route.copy(maxAttempts = minOf(route.maxAttempts, passOn.attemptsLeft)), passedOn = true)
+        }
+
     /** Request id for log events; "-" if the caller sent none. */
     val id: String get() = metadata.id ?: "-"
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -18,7 +18,8 @@
     private val filters: FilterChain,
 ) : RequestHandler {
     private val inFlight = InFlightRequests(context)
-    private val startupQueue = StartupQueue(context.clock, context.scheduler, ::decide)
+    private val startupQueue =
+        StartupQueue(context.clock, context.scheduler) { request, response -> serve(request, response) }
 
     init {
         context.parts.verdicts.onQuarantined = inFlight::stopQuarantined
@@ -44,17 +45,19 @@
         response: ResponseWriter,
     ) {
         if (context.state.configuration == null && startupQueue.hold(request, response)) return
-        decide(request, response)
+        serve(request, response)
     }
 
-    private fun decide(
+    /** Checks [request] and forwards it; [passOn] is what the process states that passed it on, null for a caller's. */
+    internal fun serve(
         request: InboundRequest,
         response: ResponseWriter,
+        passOn: PassOn? = null,
     ) {
         val metadata = context.codecs.caller.read(request.headers)
         when (val result = filters.decide(request, metadata)) {
             is FilterResult.Refuse -> refuse(metadata, result, response)
-            is FilterResult.Accept -> forward(result.accepted, response)
+            is FilterResult.Accept -> forward(result.accepted.passedOn(passOn), response)
         }
     }
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/GatewayContext.kt
@@ -43,12 +43,13 @@
     }
 }
 
-/** Clock, scheduler and HTTP client of the traffic thread, and whether the client reaches workers. */
+/** Clock, scheduler and HTTP client of the traffic thread, whether the client reaches workers, and who helps if not. */
 class GatewayRuntime(
     val clock: Clock,
     val scheduler: Scheduler,
     val client: HttpClient,
     val reachability: WorkerReachability,
+    val helpers: Helpers,
 )
 
 /** Codecs for the headers of callers and workers. */
@@ -106,6 +107,7 @@
     val scheduler = runtime.scheduler
     val client = runtime.client
     val reachability = runtime.reachability
+    val helpers = runtime.helpers
     val router = routing.router
     val load = routing.load
     val unreported = routing.unreported
--- /dev/null
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Helpers.kt
@@ -0,0 +1,73 @@
+/*
+ * The processes to which this one can pass requests on while it reaches no worker. Processes of the own data centre are
+ * asked first, but all of them may have lost their workers together, so that only the first tries of a request go there.
+ */
+package auburnhall.gateway
+
+import auburnhall.core.Address
+import auburnhall.core.Clock
+import auburnhall.http.HttpClient
+import kotlin.random.Random
+
+/** Another process that serves requests that are passed on to it at [address]. */
+data class Helper(
+    val process: String,
+    val address: Address,
+    val dataCentre: String,
+)
+
+/** Selects helpers; [client] connects to them. Traffic thread only. */
+class Helpers(
+    private val clock: Clock,
+    private val random: Random,
+    private val self: Helper,
+    val client: HttpClient,
+) {
+    private var known: List<Helper> = emptyList()
+    private val avoidUntilMs = HashMap<String, Long>()
+
+    /** The name of this process. */
+    val processName: String get() = self.process
+
+    /** Requests passed on since the start, each counted once for each helper. May be read on any thread. */
+    @Volatile
+    var sends = 0L
+        private set
+
+    /** Replaces the other processes by [processes]. */
+    fun onProcesses(processes: Collection<Helper>) {
+        known = processes.toList()
+        avoidUntilMs.keys.retainAll(processes.mapTo(HashSet()) { it.process })
+    }
+
+    /** Selects a helper for a request that the processes [asked] did not take; null if no other one is left. */
+    fun select(asked: Set<String>): Helper? {
+        if (asked.size >= MAX_ASKED) return null
+        val now = clock.nowMs()
+        avoidUntilMs.values.removeIf { it <= now }
+        val candidates = known.filter { it.process !in asked && it.process !in avoidUntilMs }
+        val near = if (asked.size < NEAR_TRIES) candidates.filter { it.dataCentre == self.dataCentre } else emptyList()
+        return near.ifEmpty { candidates }.randomOrNull(random)
+    }
+
+    /** A request is passed on. */
+    fun onSent() {
+        sends++
+    }
+
+    /** [process] did not take a request, or failed while it served one. */
+    fun onFailure(process: String) {
+        avoidUntilMs[process] = clock.nowMs() + AVOID_MS
+    }
+
+    private companion object {
+        /** Helpers that are asked for a request; each that refuses takes a round trip. */
+        const val MAX_ASKED = 6
+
+        /** Of these, those that are in the own data centre as far as possible. */
+        const val NEAR_TRIES = 2
+
+        /** About the time for which processes lose their workers. */
+        const val AVOID_MS = 3_000L
+    }
+}
--- a/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
@@ -51,12 +51,14 @@
     private val unreported = UnreportedRequests { 1 }
     protected val health = TargetHealth(Clock.SYSTEM)
     protected val client = HttpClient(loop, Clock.SYSTEM)
-    private val reachability = WorkerReachability(Clock.SYSTEM, scheduler, events)
+    protected val reachability = WorkerReachability(Clock.SYSTEM, scheduler, events)
+    private val self = Helper("self", Address("127.0.0.1", 0), "z")
+    protected val helpers = Helpers(Clock.SYSTEM, Random(1), self, HttpClient(loop, Clock.SYSTEM))
     protected val verdicts = PartVerdicts(PartGuardRuntime(Clock.SYSTEM, scheduler) { 0.0 }, events)
     protected val parts = PartGuard(Clock.SYSTEM, verdicts, events)
     protected val context: GatewayContext =
         GatewayContext(
-            GatewayRuntime(Clock.SYSTEM, scheduler, client, reachability),
+            GatewayRuntime(Clock.SYSTEM, scheduler, client, reachability, helpers),
             GatewayCodecs(TestCallerCodec, TestWorkerCodec),
             GatewayRouting(
                 Router(load, health, "z", Random(1), unreported) { true },
@@ -239,7 +241,11 @@
     override fun refusalHeaders(
         id: String?,
         retryAfterMs: Long?,
-    ): HttpHeaders = newHeaders().apply { retryAfterMs?.let { set("again-in-ms", it.toString()) } }
+    ): HttpHeaders =
+        newHeaders().apply {
+            id?.let { set("id", it) }
+            retryAfterMs?.let { set("again-in-ms", it.toString()) }
+        }
 }
 
 private object TestWorkerCodec : WorkerCodec {
--- a/http/src/main/kotlin/auburnhall/http/HttpServer.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpServer.kt
@@ -18,18 +18,19 @@
 import io.netty.handler.codec.http.HttpResponseEncoder
 import java.net.InetSocketAddress
 
-/** Serves HTTP/1.1 on [loop]. */
+/** Serves HTTP/1.1 on [loop]; requests take memory together with those of [sharing], a server on the same loop. */
 class HttpServer(
     private val loop: EventLoop,
     private val clock: Clock,
     private val limits: () -> CallerLimits,
     private val handler: RequestHandler,
+    sharing: HttpServer? = null,
 ) {
     private val connections = HashSet<CallerConnection>()
     private var listener: Channel? = null
 
     /** The memory that the bodies of requests take. */
-    internal val requestMemory = RequestMemory(EventLoopScheduler(loop))
+    internal val requestMemory: RequestMemory = sharing?.requestMemory ?: RequestMemory(EventLoopScheduler(loop))
 
     /** Called when a request is refused because the bodies of all requests take too much memory. */
     var onMemoryRefusal: (MemoryRefusal) -> Unit = { }
