--- /dev/null
+++ b/gateway/src/test/kotlin/auburnhall/gateway/IsolatedProcessTest.kt
@@ -0,0 +1,165 @@
+package auburnhall.gateway
+
+import auburnhall.core.Address
+import auburnhall.core.CallerLimits
+import auburnhall.core.Clock
+import auburnhall.core.Fleet
+import auburnhall.core.Worker
+import auburnhall.http.HttpServer
+import auburnhall.routing.TargetTable
+import org.junit.jupiter.api.AfterEach
+import org.junit.jupiter.api.Assertions.assertEquals
+import org.junit.jupiter.api.Assertions.assertTrue
+import org.junit.jupiter.api.BeforeEach
+import org.junit.jupiter.api.Test
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.nio.channels.SocketChannel
+import java.util.concurrent.CompletableFuture
+import java.util.concurrent.TimeUnit
+
+/** Callers of a process that reaches no worker, beside another process that does. */
+class IsolatedProcessTest : GatewayFixture() {
+    private val other = OtherProcess()
+    private val silent = SilentListener()
+
+    /** A process that takes requests over, with workers of its own. */
+    private class OtherProcess : GatewayFixture() {
+        val helped =
+            HttpServer(loop, Clock.SYSTEM, { CallerLimits.DEFAULT }, PassedOnRequests(context, gateway), server)
+
+        init {
+            helped.bind(Address("127.0.0.1", 0)).sync()
+        }
+
+        fun serveBy(vararg targets: ScriptedWorker) = serve(*targets)
+
+        fun workerOf(vararg scripts: Script) = worker(*scripts)
+
+        fun endsAbruptly() = loop.parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync()
+    }
+
+    /** A port at which connections are neither made nor refused. */
+    private class SilentListener : AutoCloseable {
+        private val socket = ServerSocket(0, 1, InetAddress.getLoopbackAddress())
+        private val filling = List(4) { SocketChannel.open().apply { configureBlocking(false) } }
+        val port: Int get() = socket.localPort
+
+        init {
+            filling.forEach { it.connect(socket.localSocketAddress) }
+        }
+
+        override fun close() {
+            filling.forEach { it.close() }
+            socket.close()
+        }
+    }
+
+    @BeforeEach
+    fun connectProcesses() {
+        val helper = Helper("other", Address("127.0.0.1", other.helped.port), "z")
+        loop.submit { helpers.onProcesses(listOf(helper)) }.sync()
+    }
+
+    @AfterEach
+    fun closeOther() {
+        other.close()
+        silent.close()
+    }
+
+    /** Serves by workers of which none can be reached, at the addresses that [worker] returns. */
+    private fun serveUnreachable(worker: (number: Int) -> Address) {
+        val listed = (0 until 8).map { workerEntry("i-$it", 1).copy(address = worker(it)) }
+        val plain = listed.map { it.copy(service = "plain", membership = null) }
+        serveFleet(listed + plain, listed)
+    }
+
+    private fun serveFleet(
+        workers: List<Worker>,
+        heads: List<Worker>,
+    ) {
+        val replicas = mapOf("model" to heads.map(::replica))
+        val table = TargetTable(Fleet(1, workers), CONFIGURATION.services.values, replicas)
+        loop.submit { gateway.update(GatewayState(CONFIGURATION, table)) }.sync()
+    }
+
+    private fun refusing() = serveUnreachable { Address("127.0.0.${it + 2}", 1) }
+
+    private fun await(condition: () -> Boolean) {
+        val untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S)
+        while (!condition()) check(System.nanoTime() < untilNs) { "not within $WAIT_S s; ${events.names}" }
+    }
+
+    private fun status(response: String) = response.substringAfter(' ').take(3)
+
+    /** Guards against failing each caller of a process whose connections are refused (RECOVER). */
+    @Test
+    fun `callers are served by another process when connections to workers are refused`() {
+        other.serveBy(other.workerOf(*Array(9) { Script.Send(full("hello")) }))
+        refusing()
+        repeat(9) { assertTrue(call("/unsafe/x", method = "POST").endsWith("hello")) }
+        assertEquals(1, events.names.count { it == "workers.unreachable" })
+    }
+
+    /** Guards against holding callers for connections that hang, one worker after the other (RECOVER). */
+    @Test
+    fun `callers are served by another process when connections to workers hang`() {
+        other.serveBy(other.workerOf(*Array(4) { Script.Send(full("hello")) }))
+        serveUnreachable { Address("127.0.0.1", silent.port) }
+        val responses = List(4) { CompletableFuture.supplyAsync { call("/unsafe/x", method = "POST") } }
+        responses.forEach { assertTrue(it.get(WAIT_S, TimeUnit.SECONDS).endsWith("hello")) }
+    }
+
+    @Test
+    fun `a stream that another process serves is whole, and goes on after that process was lost`() {
+        val own = worker(Script.Send(stream(2, 3) + lastChunk))
+        other.serveBy(other.workerOf(Script.Send(stream(1))))
+        refusing()
+        val response = CompletableFuture.supplyAsync { call("/stream/x") }
+        await { "request.passed_on" in events.names }
+        TimeUnit.MILLISECONDS.sleep(300)
+        serve(own)
+        loop.submit { reachability.onHeard() }.sync()
+        other.endsAbruptly()
+        assertEquals(listOf(1, 2, 3), eventIds(response.get(WAIT_S, TimeUnit.SECONDS)))
+    }
+
+    /** Guards against running a request twice, or calling it not run, when the process that serves it is lost. */
+    @Test
+    fun `a request that may run once is not sent again when the process that serves it is lost`() {
+        val remote = other.workerOf(Script.NoResponse)
+        other.serveBy(remote)
+        refusing()
+        val response = CompletableFuture.supplyAsync { call("/unsafe/x", method = "POST") }
+        await { remote.requests.isNotEmpty() }
+        other.endsAbruptly()
+        assertEquals("502", status(response.get(WAIT_S, TimeUnit.SECONDS)))
+        assertEquals(1, remote.requests.size)
+    }
+
+    @Test
+    fun `a request that every process refuses is refused at once, since it has not run`() {
+        loop.submit { helpers.onProcesses(listOf(Helper("self", Address("127.0.0.1", other.helped.port), "z"))) }.sync()
+        refusing()
+        val startedAtNs = System.nanoTime()
+        repeat(4) { assertEquals("503", status(call("/unsafe/x", method = "POST"))) }
+        assertTrue(TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAtNs) < 1_000)
+    }
+
+    @Test
+    fun `the worker stops when the caller of the passing process leaves`() {
+        val remote = other.workerOf(Script.NoResponse)
+        other.serveBy(remote)
+        refusing()
+        Socket("127.0.0.1", port).use {
+            it.getOutputStream().write("GET /safe/x HTTP/1.1\r\nHost: h\r\nid: q1\r\nkey: k\r\n\r\n".toByteArray())
+            await { remote.requests.isNotEmpty() }
+        }
+        assertTrue(remote.awaitConnectionClose())
+    }
+
+    private companion object {
+        const val WAIT_S = 5L
+    }
+}
