--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -66,6 +66,8 @@
     val priority: Int,
     /** Whether it is made only to learn whether events follow the last one that the caller received. */
     val checksEnd: Boolean = false,
+    /** Number of targets that the request may be sent to, this one included. */
+    val attemptsLeft: Int = 1,
 )
 
 internal class Attempt(
@@ -128,33 +130,52 @@
     val isConnecting: Boolean get() = call?.isConnecting == true
 
     fun send() {
-        context.load.begin(target.key, unreadTokens)
-        context.limits.onSent(target)
-        context.reachability.onTried(target.worker.address)
-        val metadata =
-            WorkerRequestMetadata(
-                timeLeftMs = accepted.deadlineMs - context.clock.nowMs(),
-                workerId = target.worker.id,
-                customer = accepted.customer?.name,
-                resumeAfterEventId = options.resumeAfterEventId,
-                priority = options.priority,
-            )
+        if (target.helper) {
+            context.helpers.onSent()
+        } else {
+            context.load.begin(target.key, unreadTokens)
+            context.limits.onSent(target)
+            context.reachability.onTried(target.worker.address)
+        }
         val id = accepted.metadata.id?.ifEmpty { null }
         val correlation = id?.let { Correlation(context.codecs.worker.idHeader, it) }
         val request =
             OutboundRequest(
                 accepted.request.method,
                 accepted.request.uri,
-                context.codecs.worker.requestHeaders(accepted.request.headers.endToEnd(), metadata),
+                if (target.helper) headersForHelper() else headersForWorker(),
                 accepted.request.body,
                 correlation,
             )
-        val maxIdleMs = if (accepted.route.repeatable) MAX_CONNECTION_IDLE_MS else NON_REPEATABLE_MAX_CONNECTION_IDLE_MS
+        val keepsLong = accepted.route.repeatable && !target.helper
+        val maxIdleMs = if (keepsLong) MAX_CONNECTION_IDLE_MS else NON_REPEATABLE_MAX_CONNECTION_IDLE_MS
         // Without an id, a late response on a connection that has carried another request would be taken for its own.
         val callOptions = CallOptions(CONNECT_TIMEOUT_MS, maxIdleMs, pooled = correlation != null)
-        call = context.client.send(target.worker.address, request, callOptions, this)
+        val client = if (target.helper) context.helpers.client else context.client
+        call = client.send(target.worker.address, request, callOptions, this)
+    }
+
+    private fun headersForWorker(): HttpHeaders {
+        val metadata =
+            WorkerRequestMetadata(
+                timeLeftMs = timeLeftMs,
+                workerId = target.worker.id,
+                customer = accepted.customer?.name,
+                resumeAfterEventId = options.resumeAfterEventId,
+                priority = options.priority,
+            )
+        return context.codecs.worker.requestHeaders(accepted.request.headers.endToEnd(), metadata)
+    }
+
+    private fun headersForHelper(): HttpHeaders {
+        val caller = accepted.request.headers.endToEnd()
+        val headers = context.codecs.worker.passedOnHeaders(caller, timeLeftMs, options.resumeAfterEventId)
+        PassOn(context.helpers.processName, options.attemptsLeft).write(headers)
+        return headers
     }
 
+    private val timeLeftMs: Long get() = accepted.deadlineMs - context.clock.nowMs()
+
     /** Cancels the call; the listener is not called any more. */
     fun cancel() {
         call?.cancel()
@@ -169,7 +190,7 @@
 
     /** Removes the request from the load of the target; further calls do nothing. */
     fun release() {
-        if (released) return
+        if (released || target.helper) return
         released = true
         context.load.end(target.key, unreadTokens)
         context.unreported.onEnded(target.served, ageMs)
@@ -180,15 +201,14 @@
         headers: HttpHeaders,
         framing: Framing,
     ) {
-        context.reachability.onHeard()
         this.framing = framing
         val head = context.codecs.worker.read(status, headers)
-        responseHead = head
-        context.limits.onResponse(target, head.requestsPerSecond)
-        if (head.misdirected) context.limits.cold?.onNotReceived(target)
-        head.coldRemainingMs?.let { context.limits.cold?.onResponse(target, it) }
-        if (head.leaving) context.notices.onLeaving(target)
-        head.pauseMs?.let { context.notices.onPause(target, it) }
+        if (target.helper) {
+            responseHead = head.copy(notExecuted = !head.authentic && status !in UNCERTAIN_STATUSES)
+        } else {
+            responseHead = head
+            onWorkerHead(head)
+        }
         val relayed = headers.endToEnd()
         this.headers = relayed
         val success = status in SUCCESS_STATUSES
@@ -198,8 +218,17 @@
         }
     }
 
-    override fun onContent(content: ByteBuf) {
+    private fun onWorkerHead(head: WorkerResponseHead) {
         context.reachability.onHeard()
+        context.limits.onResponse(target, head.requestsPerSecond)
+        if (head.misdirected) context.limits.cold?.onNotReceived(target)
+        head.coldRemainingMs?.let { context.limits.cold?.onResponse(target, it) }
+        if (head.leaving) context.notices.onLeaving(target)
+        head.pauseMs?.let { context.notices.onPause(target, it) }
+    }
+
+    override fun onContent(content: ByteBuf) {
+        if (!target.helper) context.reachability.onHeard()
         val bytes = ByteArray(content.readableBytes())
         content.readBytes(bytes)
         val fault =
@@ -248,6 +277,8 @@
                 listener.onStreamEnd(this, events.remainder)
             }
             head.notExecuted -> listener.onNotExecuted(this, head)
+            target.helper && !head.authentic ->
+                onFailure(CallFailure(CallStep.READ_BODY, target.worker.address, "helper ended with ${head.status}"))
             success && !head.authentic ->
                 onFailure(
                     CallFailure(CallStep.READ_BODY, target.worker.address, "response is not signed or was re-encoded"),
@@ -262,13 +293,20 @@
     override fun onFailure(failure: CallFailure) {
         buffer.release()
         if (!failure.sent) sent = false
-        if (failure.step == CallStep.CONNECT) context.reachability.onConnectFailed(target.worker.address)
+        if (failure.step == CallStep.CONNECT &&
+            !target.helper
+        ) {
+            context.reachability.onConnectFailed(target.worker.address)
+        }
         listener.onFailure(this, failure)
     }
 
     private companion object {
         val SUCCESS_STATUSES = 200..299
 
+        /** With these, another process states nothing about whether it has sent a request to a worker. */
+        val UNCERTAIN_STATUSES = setOf(500, BAD_GATEWAY, GATEWAY_TIMEOUT)
+
         /** Many round trips within a region; a worker that does not accept in this time counts as unreachable. */
         const val CONNECT_TIMEOUT_MS = 400
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
@@ -90,6 +90,7 @@
         attempt.buffer.release()
         if (attempt !== state.attempt) return
         if (attempt.onlyChecksEnd) return completion.complete()
+        if (attempt.target.helper) return onDeclined(attempt, "status ${head.status}")
         if (head.pauseMs == null && !head.leaving) noteRejection(attempt.target)
         state.detach(attempt)
         state.onRejected()
@@ -98,6 +99,24 @@
         if (state.hasAttemptsLeft) request.retries.whenAllowed(reason, giveUp) else giveUp()
     }
 
+    /** Another process did not take the request, as [cause] says; nothing was sent to a worker. */
+    private fun onDeclined(
+        attempt: Attempt,
+        cause: String,
+    ) {
+        val helper = attempt.target
+        context.listener.logRequest(
+            "request.declined",
+            state.accepted.id,
+            "helper" to helper.worker.id,
+            "cause" to cause,
+        )
+        state.detach(attempt)
+        state.onDeclined(helper)
+        val giveUp = { end.onNoTarget(Admission.Refuse("no process reaches a worker", RequestEnd.RETRY_AFTER_MS)) }
+        if (!request.passOn()) request.retries.later(giveUp)
+    }
+
     /** A worker that does not say why it rejects a request is avoided for a while. */
     private fun noteRejection(target: Target) =
         if (target.replica != null) context.health.markSuspect(target.key) else context.health.onFailure(target.key)
@@ -115,9 +134,14 @@
         failure: CallFailure,
     ) {
         if (attempt !== state.attempt) return
-        state.detach(attempt)
-        context.health.onFailure(attempt.target.key)
         context.listener.logFailure(attempt, failure, state.accepted)
+        if (attempt.target.helper && !failure.sent) return onDeclined(attempt, failure.cause)
+        state.detach(attempt)
+        if (attempt.target.helper) {
+            context.helpers.onFailure(attempt.target.worker.id)
+        } else {
+            context.health.onFailure(attempt.target.key)
+        }
         if (failure.step == CallStep.CONNECT) {
             state.onUnreachable(attempt.target.key)
             sendElsewhere()
@@ -134,7 +158,7 @@
         val giveUp = { end.onError("could not connect to a target") }
         when {
             context.clock.nowMs() >= state.accepted.deadlineMs -> giveUp()
-            state.connectAttemptsExhausted -> request.retries.later(giveUp)
+            state.connectAttemptsExhausted -> if (!request.passOn()) request.retries.later(giveUp)
             else -> request.dispatch()
         }
     }
--- a/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
@@ -86,6 +86,13 @@
         metadata: WorkerRequestMetadata,
     ): HttpHeaders
 
+    /** Returns the headers of a request that is passed on to another process; all but the time left and the event stay. */
+    fun passedOnHeaders(
+        caller: HttpHeaders,
+        timeLeftMs: Long,
+        resumeAfterEventId: String?,
+    ): HttpHeaders
+
     fun read(
         status: Int,
         headers: HttpHeaders,
--- a/gateway/src/main/kotlin/auburnhall/gateway/CrashPrevention.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/CrashPrevention.kt
@@ -37,7 +37,7 @@
         failure: CallFailure,
     ): Boolean {
         val crashed = failure.closedByPeer && !attempt.established && parts.isNotEmpty()
-        if (!crashed) return true
+        if (!crashed || attempt.target.helper) return true
         val target = attempt.target
         context.parts.onCrash(parts, PartCrash(target.key, accepted.id, target.served))
         return context.parts.mayRetry(parts, target.key)
--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -3,6 +3,7 @@
  */
 package auburnhall.gateway
 
+import auburnhall.core.logRequest
 import auburnhall.http.ResponseWriter
 import auburnhall.routing.Admission
 import auburnhall.routing.AdmissionPolicy
@@ -95,6 +96,29 @@
         outcomes.onWithdrawn(current)
     }
 
+    /** Takes the request away from a worker that this process no longer reaches, if another process may serve it. */
+    fun leaveUnreachable() {
+        val current = state.attempt?.takeIf { !it.target.helper } ?: return
+        if (current.isConnecting) {
+            current.cancel()
+            state.onWithdrawn(current.target.key)
+            outcomes.onWithdrawn(current)
+        } else if (state.mayRepeat && !current.onlyChecksEnd) {
+            val helper = state.helper()?.takeIf { retries.acquire("unreachable") } ?: return
+            current.cancel()
+            state.detach(current)
+            state.mayHaveExecuted = true
+            send(helper)
+        }
+    }
+
+    /** Passes the request on to another process; returns false if none is left. */
+    internal fun passOn(): Boolean {
+        val helper = state.helper() ?: return false
+        send(helper)
+        return true
+    }
+
     private fun decide(): Admission {
         val choice = state.choose()
         val admission =
@@ -124,11 +148,12 @@
         target: Target,
         checksEnd: Boolean = false,
     ) {
+        val attemptsLeft = state.attemptsLeft
         state.onSent(target.key)
         resumeWait.end()
-        inFlight.queue.onSent(pool)
+        if (target.helper) logPassedOn(target, attemptsLeft) else inFlight.queue.onSent(pool)
         val resumeAfterEventId = callerResponse.lastEventId?.toString() ?: accepted.metadata.lastEventId
-        val options = AttemptOptions(resumeAfterEventId, priority, checksEnd)
+        val options = AttemptOptions(resumeAfterEventId, priority, checksEnd, attemptsLeft)
         val attempt = Attempt(context, accepted, target, options, outcomes)
         state.attempt = attempt
         if (target.replica != null) inFlight.supervise(this)
@@ -136,6 +161,18 @@
         if (!response.writable) attempt.setReading(false)
     }
 
+    private fun logPassedOn(
+        target: Target,
+        attemptsLeft: Int,
+    ) = context.listener.logRequest(
+        "request.passed_on",
+        accepted.id,
+        "helper" to target.worker.id,
+        "isolated" to context.reachability.isolated,
+        "attempts_left" to attemptsLeft,
+        "after_event" to callerResponse.lastEventId,
+    )
+
     private companion object {
         /** Assumed time from sending a request with a short prompt to its first event. */
         const val FIRST_EVENT_DELAY_MS = 130L
--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -22,6 +22,7 @@
         StartupQueue(context.clock, context.scheduler) { request, response -> serve(request, response) }
 
     init {
+        Isolation(context, inFlight)
         context.parts.verdicts.onQuarantined = inFlight::stopQuarantined
     }
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/Helpers.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Helpers.kt
@@ -6,7 +6,10 @@
 
 import auburnhall.core.Address
 import auburnhall.core.Clock
+import auburnhall.core.Worker
 import auburnhall.http.HttpClient
+import auburnhall.routing.Target
+import auburnhall.routing.TargetKey
 import kotlin.random.Random
 
 /** Another process that serves requests that are passed on to it at [address]. */
@@ -14,7 +17,29 @@
     val process: String,
     val address: Address,
     val dataCentre: String,
-)
+) {
+    /** As a target of a request for [service] and [model]. */
+    fun asTarget(
+        service: String,
+        model: String?,
+    ): Target {
+        val worker =
+            Worker(
+                id = process,
+                service = service,
+                address = address,
+                dataCentre = "",
+                slots = Int.MAX_VALUE,
+                draining = false,
+                startedAtUnixMs = 0,
+                fabricDomain = null,
+                stagedModels = emptyList(),
+                loadedModels = emptyList(),
+                membership = null,
+            )
+        return Target(TargetKey("helper:$process"), worker, null, worker.slots, model, helper = true)
+    }
+}
 
 /** Selects helpers; [client] connects to them. Traffic thread only. */
 class Helpers(
--- a/gateway/src/main/kotlin/auburnhall/gateway/InFlightRequests.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/InFlightRequests.kt
@@ -66,6 +66,12 @@
         evacuated.onEvacuated(dataCentres)
     }
 
+    /** No worker is reached any more: requests leave the workers that they were sent to. */
+    fun leaveUnreachable() {
+        all.toList().forEach { it.leaveUnreachable() }
+        queue.dispatchAll()
+    }
+
     private fun checkBy(atMs: Long) {
         if (atMs >= timerAtMs) return
         timer?.cancel()
--- /dev/null
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Isolation.kt
@@ -0,0 +1,44 @@
+/*
+ * What this process does while it reaches no worker: requests leave the connections that are dead, and connections are
+ * tried until one is made. The connection that is made then serves the next request.
+ */
+package auburnhall.gateway
+
+/** Acts when [GatewayContext.reachability] changes. Traffic thread only. */
+internal class Isolation(
+    private val context: GatewayContext,
+    private val inFlight: InFlightRequests,
+) {
+    private var probing = false
+
+    init {
+        context.reachability.onChange = { context.scheduler.run(::onChange) }
+    }
+
+    private fun onChange() {
+        if (context.reachability.isolated) {
+            context.client.closeIdleConnections(null)
+            inFlight.leaveUnreachable()
+            if (!probing) probe()
+        } else {
+            inFlight.queue.dispatchAll()
+        }
+    }
+
+    private fun probe() {
+        probing = context.reachability.isolated
+        if (!probing) return
+        val workers =
+            context.state.targets.targets
+                .map { it.worker.address }
+        workers.randomOrNull()?.let { context.client.preconnect(it, PROBE_TIMEOUT_MS) }
+        context.scheduler.after(PROBE_PERIOD_MS, ::probe)
+    }
+
+    private companion object {
+        const val PROBE_TIMEOUT_MS = 400
+
+        /** A lost link is noticed to be back after this time; each try costs a worker a connection. */
+        const val PROBE_PERIOD_MS = 500L
+    }
+}
--- a/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
@@ -20,6 +20,9 @@
 ) {
     private val sentTo = LinkedHashSet<TargetKey>()
     private val unreachable = HashSet<TargetKey>()
+
+    /** The processes that did not take the request. */
+    private val declinedBy = HashSet<String>()
     private var rejections = 0
 
     /** Keeps the request from crashing workers. */
@@ -53,8 +56,28 @@
             .of(accepted.service, accepted.metadata.model)
             .filterNot(context.notices::isLeaving)
 
-    /** Chooses the next target among those that the request was not sent to. */
-    fun choose(): Choice {
+    /** Number of targets, at least 1, that the request may still be sent to. */
+    val attemptsLeft: Int get() = (accepted.route.maxAttempts - (sentTo.size - rejections)).coerceAtLeast(1)
+
+    /** Another process to pass the request on to; null if none is left, or if one has passed it on to this process. */
+    fun helper(): Target? {
+        if (accepted.passedOn) return null
+        return context.helpers.select(declinedBy)?.asTarget(accepted.service, accepted.metadata.model)
+    }
+
+    /** Chooses the next target among those that the request was not sent to; another process if no worker is reached. */
+    fun choose(): Choice = if (context.reachability.isolated) chooseHelper() else chooseWorker()
+
+    private fun chooseHelper(): Choice {
+        val helper = helper()
+        return when {
+            helper != null -> Choice.Send(helper, 0)
+            declinedBy.isEmpty() -> chooseWorker()
+            else -> Choice.None
+        }
+    }
+
+    private fun chooseWorker(): Choice {
         val requirements = TargetRequirements(accepted.service, accepted.metadata.model, sentTo + unreachable)
         val choice = context.router.choose(requirements, targets(), context::waitMs)
         return if (choice is Choice.None && isEvacuated()) Choice.Evacuated else choice
@@ -64,7 +87,8 @@
 
     /** Whether there is a target that the request was not sent to and that is not suspect. */
     fun hasAlternative(): Boolean =
-        targets().any { it.key !in sentTo && it.key !in unreachable && !context.health.isSuspect(it.key) }
+        context.reachability.isolated ||
+            targets().any { it.key !in sentTo && it.key !in unreachable && !context.health.isSuspect(it.key) }
 
     /** Records that the request was sent to [key]. */
     fun onSent(key: TargetKey) {
@@ -72,6 +96,13 @@
         sentTo.add(key)
     }
 
+    /** Records that the process [helper] did not take the request, so that nothing was sent to a worker. */
+    fun onDeclined(helper: Target) {
+        sentTo.remove(helper.key)
+        declinedBy.add(helper.worker.id)
+        context.helpers.onFailure(helper.worker.id)
+    }
+
     /** Records that no connection to [key] could be made, so that nothing was sent. */
     fun onUnreachable(key: TargetKey) {
         sentTo.remove(key)
--- a/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
@@ -230,7 +230,7 @@
             headers.getAll("key").lastOrNull(),
             headers.get("model"),
             0,
-            null,
+            headers.get("last"),
             headers
                 .get("parts")
                 ?.split(',')
@@ -256,6 +256,16 @@
         metadata: WorkerRequestMetadata,
     ): HttpHeaders = caller.copy().apply { metadata.resumeAfterEventId?.let { set("after", it) } }
 
+    override fun passedOnHeaders(
+        caller: HttpHeaders,
+        timeLeftMs: Long,
+        resumeAfterEventId: String?,
+    ): HttpHeaders =
+        caller.copy().apply {
+            set("left", timeLeftMs.toString())
+            resumeAfterEventId?.let { set("last", it) }
+        }
+
     override fun read(
         status: Int,
         headers: HttpHeaders,
--- a/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
@@ -65,6 +65,12 @@
         context.close()
     }
 
+    /** Keeps the connection for later calls. */
+    fun rest() {
+        idleSinceMs = clock.nowMs()
+        client.onIdle(this)
+    }
+
     /** Sends [request]; no other call may be in progress. */
     fun start(
         request: OutboundRequest,
@@ -114,8 +120,7 @@
         val reusable = pooled && finished.keepAlive && finished.written && error == null && !surplus
         if (reusable) {
             context.channel().config().isAutoRead = true
-            idleSinceMs = clock.nowMs()
-            client.onIdle(this)
+            rest()
         } else {
             context.close()
         }
--- a/http/src/main/kotlin/auburnhall/http/HttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpClient.kt
@@ -46,6 +46,15 @@
         return pooled?.start(request, listener) ?: connect(peer, request, options, listener)
     }
 
+    /** Makes a connection to [peer] for later calls within [timeoutMs] milliseconds; a failure has no effect. */
+    fun preconnect(
+        peer: Address,
+        timeoutMs: Int,
+    ) {
+        val connection = ClientConnection(peer, pooled = true, clock, this)
+        open(connection, timeoutMs).addListener { if (it.isSuccess) connection.rest() }
+    }
+
     /** Whether there is an idle connection to [peer]. */
     fun hasIdleConnection(peer: Address): Boolean = idle[peer]?.isNotEmpty() == true
 
@@ -78,19 +87,23 @@
     ): OutboundCall {
         val connection = ClientConnection(peer, options.pooled, clock, this)
         val pending = PendingConnect(connection, request, listener)
-        val future =
-            Bootstrap()
-                .group(loop)
-                .channel(NioSocketChannel::class.java)
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, options.connectTimeoutMs)
-                .option(ChannelOption.TCP_NODELAY, true)
-                .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-                .handler(initializer(connection))
-                .connect(peer.host, peer.port)
-        pending.startWhenConnected(future)
+        pending.startWhenConnected(open(connection, options.connectTimeoutMs))
         return pending
     }
 
+    private fun open(
+        connection: ClientConnection,
+        timeoutMs: Int,
+    ): ChannelFuture =
+        Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel::class.java)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
+            .handler(initializer(connection))
+            .connect(connection.peer.host, connection.peer.port)
+
     private fun initializer(connection: ClientConnection) =
         object : ChannelInitializer<Channel>() {
             // Without this, Netty reads the annotations of the class, which takes long when a process starts.
--- a/routing/src/main/kotlin/auburnhall/routing/Targets.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/Targets.kt
@@ -27,6 +27,8 @@
     val slots: Int,
     /** The model that it serves; null for a plain service. */
     val model: String?,
+    /** Whether it is another process, to which a request is passed on, and no worker. */
+    val helper: Boolean = false,
 ) {
     /** What it serves: the model, or the plain service. */
     val served: String get() = model ?: worker.service
@@ -66,6 +68,9 @@
         return nowhereElse || (of(service, model).isEmpty() && all[service].orEmpty().any { it.serves(model) })
     }
 
+    /** All targets of all services, also those in evacuated data centres. */
+    val targets: Collection<Target> get() = present.values
+
     /** Whether [target] is in an evacuated data centre. */
     fun isEvacuated(target: Target): Boolean = target.worker.dataCentre in evacuated
 
--- a/test/src/main/kotlin/auburnhall/test/RecordingListener.kt
+++ b/test/src/main/kotlin/auburnhall/test/RecordingListener.kt
@@ -5,10 +5,11 @@
 
 import auburnhall.core.Event
 import auburnhall.core.EventListener
+import java.util.concurrent.CopyOnWriteArrayList
 
 class RecordingListener : EventListener {
-    /** Recorded events, the oldest first. */
-    val events = ArrayList<Event>()
+    /** Recorded events, the oldest first; may be read while a test goes on. */
+    val events: MutableList<Event> = CopyOnWriteArrayList()
 
     override fun onEvent(event: Event) {
         events.add(event)
