--- a/http/src/main/kotlin/auburnhall/http/ResponseHeads.kt
+++ b/http/src/main/kotlin/auburnhall/http/ResponseHeads.kt
@@ -33,6 +33,7 @@
 /** Why the response cannot be used; null if it can. */
 internal fun HttpResponse.fault(): String? =
     when {
+        status().code() !in STATUSES -> "invalid status ${status().code()}"
         isJoinedOfTwo() -> "a status line within the head of a response"
         hasUnknownTransferCoding() -> "unknown transfer coding ${headers().get(HttpHeaderNames.TRANSFER_ENCODING)}"
         else -> null
@@ -69,5 +70,8 @@
 private val TIMEOUT_PARAMETER = Regex("timeout=(\\d+)")
 private val STATUS_LINE = Regex("HTTP/1\\.[01] [1-5]\\d\\d")
 
+/** The statuses that HTTP defines classes for; any other one has no meaning that could be passed on. */
+private val STATUSES = 100..599
+
 /** Statuses of responses that have no body, whatever their headers say. */
 private val BODILESS_STATUSES = setOf(HttpResponseStatus.NO_CONTENT.code(), HttpResponseStatus.NOT_MODIFIED.code())
