Let another process control the replicas while the controller reaches no worker (RECOVER)

Cause: the same as for callers' requests, in the control plane: a process takes its own loss for that of the workers. Change: while no worker is reached the controller ends its term and its lease, and the process does not claim the key. Measured: a test on simulated time with five processes (the interface is new, so it has no failing run before): another one leads within a second, none while all are isolated.

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -63,6 +63,9 @@
     /** Controls the replicas while this process is the controller. */
     val replicas = ReplicaControllers(view, workers, context, listener)
 
+    /** Whether this process reaches no worker; another one is the controller then. */
+    var isolated by leadership::isolated
+
     /** Whether this process is the controller. May be read on any thread. */
     val isLeading: Boolean get() = leadership.isLeading
 
--- a/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/EntryProcess.kt
@@ -66,6 +66,7 @@
         traffic.start()
         traffic.scheduler.run {
             traffic.onEvacuated = { dataCentres -> control.run { plane.replicas.evacuated = dataCentres } }
+            traffic.gateway.onIsolated = { isolated -> control.run { plane.isolated = isolated } }
             traffic.peerMessenger.parts.onQuarantined = { parts -> control.run { plane.quarantine.onSnapshot(parts) } }
         }
         control.run { plane.start() }
--- a/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
@@ -40,6 +40,13 @@
     /** Whether this process is the controller now. May be read from any thread. */
     val isLeading: Boolean get() = leading && lease.valid
 
+    /** Whether this process reaches no worker; it does not lead then, since it would take its own loss for theirs. */
+    var isolated = false
+        set(value) {
+            field = value
+            if (value) resign("no worker is reached")
+        }
+
     /** The controller key was loaded or written; recognizes a claim of this process whose response was lost. */
     fun onKey(item: StoreItem) {
         if (!leading && String(item.value) == lease.keyValue) {
@@ -74,7 +81,7 @@
      * names this process with a lease that it does not hold is removed.
      */
     fun onMirrored(item: StoreItem?) {
-        if (stopped || leading) return
+        if (stopped || isolated || leading) return
         if (item == null) {
             claims.schedule()
         } else if (String(item.value) != lease.keyValue) {
@@ -85,8 +92,12 @@
     /** Ends the term and the lease because this process stops. */
     fun stop() {
         stopped = true
+        resign("stopping")
+    }
+
+    private fun resign(cause: String) {
         val held = lease.lease
-        endTerm("stopping")
+        endTerm(cause)
         held?.let { context.store.revokeLease(it.id) { } }
     }
 
@@ -96,7 +107,7 @@
     }
 
     private fun claim() {
-        if (stopped) return
+        if (stopped || isolated) return
         lease.claim { result ->
             result
                 .onSuccess {
@@ -108,8 +119,9 @@
 
     private fun beginTerm(position: StorePosition) {
         val held = lease.lease ?: return
-        if (stopped) context.store.revokeLease(held.id) { }
-        if (leading || stopped) return
+        val unfit = stopped || isolated
+        if (unfit) context.store.revokeLease(held.id) { }
+        if (leading || unfit) return
         leading = true
         electedRevision = position.revision
         lease.confirm()
--- a/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
@@ -150,6 +150,25 @@
         assertEquals(0, registry.fleet(3).workers.size)
     }
 
+    /** Guards against a controller that takes all workers for lost, since it reaches none itself. */
+    @Test
+    fun `a controller that reaches no worker gives way to another process, and leads again only if it is elected`() {
+        val fleet = SimulatedFleet(processes = 5, relayFrom = 2)
+        fleet.advance(9_000)
+        val first = fleet.live.single { it.leading }
+        first.plane.isolated = true
+        fleet.advance(1_000)
+        val second = fleet.live.single { it.leading }
+        assertTrue(second !== first)
+        fleet.live.filter { it !== first }.forEach { it.plane.isolated = true }
+        fleet.advance(3_000)
+        assertTrue(fleet.live.none { it.leading })
+        first.plane.isolated = false
+        fleet.advance(3_000)
+        assertTrue(first.leading)
+        assertEquals(emptyList<String>(), fleet.violations)
+    }
+
     private fun entry(key: String): StoreItem {
         val json = """{"service":"s","address":"1.1.1.1:1","zone":"z","slots":1,"state":"in_service"}"""
         return StoreItem(key, json.toByteArray(), 1)
--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -22,10 +22,13 @@
         StartupQueue(context.clock, context.scheduler) { request, response -> serve(request, response) }
 
     init {
-        Isolation(context, inFlight)
+        Isolation(context, inFlight) { onIsolated(it) }
         context.parts.verdicts.onQuarantined = inFlight::stopQuarantined
     }
 
+    /** Called with whether no worker is reached when that has changed. */
+    var onIsolated: (Boolean) -> Unit = { }
+
     /** The stop of this process; null while none has begun. */
     var stop: ProcessStop? = null
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/Isolation.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Isolation.kt
@@ -8,6 +8,7 @@
 internal class Isolation(
     private val context: GatewayContext,
     private val inFlight: InFlightRequests,
+    private val onIsolated: (Boolean) -> Unit,
 ) {
     private var probing = false
 
@@ -16,6 +17,7 @@
     }
 
     private fun onChange() {
+        onIsolated(context.reachability.isolated)
         if (context.reachability.isolated) {
             context.client.closeIdleConnections(null)
             inFlight.leaveUnreachable()
