--- a/entry/src/main/kotlin/auburnhall/entry/ConnectionObserver.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ConnectionObserver.kt
@@ -16,9 +16,12 @@
     private val listener: EventListener,
     private val metrics: EntryMetrics,
 ) {
-    /** Observes the connections of callers to [callers]. */
+    /** Observes the connections of callers, or of other processes, to [callers]. */
     fun observe(callers: HttpServer) {
         callers.onCut = ::onCut
+        callers.onMemoryRefusal = {
+            listener.log("request.no_memory", "peer" to it.peer, "held_bytes" to it.heldBytes, "limit" to it.limitBytes)
+        }
         callers.onHandlerError = { listener.log("caller.handler_error", "peer" to it.peer, "cause" to it.cause) }
     }
 
--- a/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
@@ -12,7 +12,6 @@
 import auburnhall.core.Replica
 import auburnhall.core.Settings
 import auburnhall.core.StoredEvacuations
-import auburnhall.core.log
 import auburnhall.gateway.FilterChain
 import auburnhall.gateway.Gateway
 import auburnhall.gateway.GatewayCodecs
@@ -155,48 +154,15 @@
             gateway.update(context.state.without(dataCentres))
             onEvacuated(dataCentres)
         }
-        callers.onMemoryRefusal = {
-            listener.log("request.no_memory", "peer" to it.peer, "held_bytes" to it.heldBytes, "limit" to it.limitBytes)
-        }
         client.onConnected = reachability::onHeard
-        metrics.gauge("auburnhall_isolated", "1 while this process reaches no worker, 0 otherwise.") {
-            if (reachability.isolated) 1 else 0
-        }
         val observer = ConnectionObserver(listener, metrics)
         observer.observe(callers)
         observer.observe(helped)
         observer.observe(client)
-        metrics.gauge(
-            "auburnhall_request_body_bytes",
-            "Bytes of memory that the bodies of callers' requests take.",
-        ) { callers.heldRequestBytes }
-        metrics.gauge(
-            "auburnhall_requests_passed_on_total",
-            "Requests sent to other processes since the start, each counted once for each of them.",
-        ) { helpers.sends }
-        metrics.gauge(
-            "auburnhall_requests_taken_over_total",
-            "Requests that other processes have passed on to this one since the start.",
-        ) { passedOn.taken }
-        metrics.gauge("auburnhall_limited_workers", "Workers that name a limit for requests.") { limits.count }
-        metrics.gauge("auburnhall_cold_workers", "Workers that are cold.") { coldWorkers.count }
-        metrics.gauge("auburnhall_worker_connections", "Open connections to workers.") { client.openConnections }
-        metrics.gauge(
-            "auburnhall_worker_connects_total",
-            "Connections to workers established since the start.",
-        ) { client.connects }
-        metrics.gauge(
-            "auburnhall_evacuated_data_centres",
-            "Data centres to whose workers nothing is sent.",
-        ) { context.state.targets.evacuated.size }
-        metrics.gauge(
-            "auburnhall_requests_in_evacuated",
-            "Requests of this process in progress in evacuated data centres.",
-        ) { gateway.requestsInEvacuated }
-        metrics.gauge(
-            "auburnhall_queued_requests",
-            "Requests waiting in the admission queue.",
-        ) { gateway.queuedRequests }
+        metrics.connections(callers, client)
+        metrics.requests(context, gateway)
+        metrics.passedOnRequests(context, passedOn)
+        metrics.restrictedWorkers(limits, coldWorkers)
     }
 
     /** Binds the ports and starts to exchange load reports; call once, not on the traffic thread. */
--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -6,10 +6,8 @@
 import auburnhall.http.CallFailure
 import auburnhall.http.CallOptions
 import auburnhall.http.CallStep
-import auburnhall.http.Correlation
 import auburnhall.http.Framing
 import auburnhall.http.OutboundCall
-import auburnhall.http.OutboundRequest
 import auburnhall.http.ResponseListener
 import auburnhall.http.endToEnd
 import auburnhall.routing.Target
@@ -17,59 +15,6 @@
 import io.netty.handler.codec.http.HttpHeaders
 import java.io.ByteArrayOutputStream
 
-/** Receives the outcome of an attempt. */
-internal interface AttemptListener {
-    /** The worker has started to respond with a stream. */
-    fun onStreamHead(
-        attempt: Attempt,
-        headers: HttpHeaders,
-    )
-
-    /** A complete event of the stream was received. */
-    fun onEvent(
-        attempt: Attempt,
-        event: StreamEvent,
-    )
-
-    /** The stream has ended; [remainder] was received after its last complete event. */
-    fun onStreamEnd(
-        attempt: Attempt,
-        remainder: ByteArray,
-    )
-
-    /** A complete response that is not a stream was received. */
-    fun onFullResponse(
-        attempt: Attempt,
-        head: WorkerResponseHead,
-        headers: HttpHeaders,
-        body: ByteArray,
-    )
-
-    /** The worker states that it did not execute the request. */
-    fun onNotExecuted(
-        attempt: Attempt,
-        head: WorkerResponseHead,
-    )
-
-    /** The attempt failed before a complete response was received. */
-    fun onFailure(
-        attempt: Attempt,
-        failure: CallFailure,
-    )
-}
-
-/** What an attempt sends in addition to the request. */
-internal data class AttemptOptions(
-    /** Id of the last event that the caller received; null to start from the first. */
-    val resumeAfterEventId: String?,
-    /** 0 is served first. */
-    val priority: Int,
-    /** Whether it is made only to learn whether events follow the last one that the caller received. */
-    val checksEnd: Boolean = false,
-    /** Number of targets that the request may be sent to, this one included. */
-    val attemptsLeft: Int = 1,
-)
-
 internal class Attempt(
     private val context: GatewayContext,
     private val accepted: AcceptedRequest,
@@ -137,45 +82,15 @@
             context.limits.onSent(target)
             context.reachability.onTried(target.worker.address)
         }
-        val id = accepted.metadata.id?.ifEmpty { null }
-        val correlation = id?.let { Correlation(context.codecs.worker.idHeader, it) }
-        val request =
-            OutboundRequest(
-                accepted.request.method,
-                accepted.request.uri,
-                if (target.helper) headersForHelper() else headersForWorker(),
-                accepted.request.body,
-                correlation,
-            )
+        val request = AttemptRequest(context, accepted, target, options).build()
         val keepsLong = accepted.route.repeatable && !target.helper
         val maxIdleMs = if (keepsLong) MAX_CONNECTION_IDLE_MS else NON_REPEATABLE_MAX_CONNECTION_IDLE_MS
         // Without an id, a late response on a connection that has carried another request would be taken for its own.
-        val callOptions = CallOptions(CONNECT_TIMEOUT_MS, maxIdleMs, pooled = correlation != null)
+        val callOptions = CallOptions(CONNECT_TIMEOUT_MS, maxIdleMs, pooled = request.correlation != null)
         val client = if (target.helper) context.helpers.client else context.client
         call = client.send(target.worker.address, request, callOptions, this)
     }
 
-    private fun headersForWorker(): HttpHeaders {
-        val metadata =
-            WorkerRequestMetadata(
-                timeLeftMs = timeLeftMs,
-                workerId = target.worker.id,
-                customer = accepted.customer?.name,
-                resumeAfterEventId = options.resumeAfterEventId,
-                priority = options.priority,
-            )
-        return context.codecs.worker.requestHeaders(accepted.request.headers.endToEnd(), metadata)
-    }
-
-    private fun headersForHelper(): HttpHeaders {
-        val caller = accepted.request.headers.endToEnd()
-        val headers = context.codecs.worker.passedOnHeaders(caller, timeLeftMs, options.resumeAfterEventId)
-        PassOn(context.helpers.processName, options.attemptsLeft).write(headers)
-        return headers
-    }
-
-    private val timeLeftMs: Long get() = accepted.deadlineMs - context.clock.nowMs()
-
     /** Cancels the call; the listener is not called any more. */
     fun cancel() {
         call?.cancel()
--- a/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
+++ b/http/src/main/kotlin/auburnhall/http/ClientConnection.kt
@@ -41,7 +41,7 @@
 
     /** Whether the peer has ended its side of the connection in an orderly way. */
     private var endedByPeer = false
-    private val carried = ArrayDeque<String>()
+    private val carried = CarriedRequests()
     private val decoder = ResponseDecoder(boundedDecoderConfig(MAX_LINE_BYTES, MAX_HEAD_BYTES), ::isToHead)
 
     /** The handlers of the channel in their order. */
@@ -58,7 +58,7 @@
         maxIdleMs: Long,
     ): Boolean {
         val fresh = now - idleSinceMs <= minOf(maxIdleMs, idleLimitMs)
-        return context.channel().isActive && fresh && request.correlation?.value !in carried
+        return context.channel().isActive && fresh && request !in carried
     }
 
     fun close() {
@@ -79,7 +79,7 @@
         val started = ActiveCall(request, listener)
         call = started
         calls++
-        request.correlation?.let { remember(it.value) }
+        carried.add(request)
         val sending = context.writeAndFlush(request.toMessage())
         sending.addListener { if (it.isSuccess) started.written = true else error = it.cause() }
         return started
@@ -87,11 +87,6 @@
 
     private fun isToHead(response: HttpResponse): Boolean = call?.let { it.isHead && it.owns(response) } == true
 
-    private fun remember(id: String) {
-        carried.addLast(id)
-        if (carried.size > MAX_REMEMBERED_REQUESTS) carried.removeFirst()
-    }
-
     private fun failUnfinished(unfinished: ActiveCall) {
         val cause = error
         val text = cause?.let(::describe) ?: "connection closed before the response was complete"
@@ -295,8 +290,5 @@
         const val MAX_LINE_BYTES = 8_192
         const val MAX_HEAD_BYTES = 16_384
         const val FIRST_FINAL_STATUS = 200
-
-        /** Latest requests on a connection of which a late response may still arrive on it. */
-        const val MAX_REMEMBERED_REQUESTS = 16
     }
 }
