--- a/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/TrafficPlane.kt
@@ -143,7 +143,7 @@
     private val passedOn = PassedOnRequests(context, gateway)
 
     /** The server that other processes pass requests on to. */
-    val helped = HttpServer(loop, clock, { limits().withOwnHeader() }, passedOn, sharing = callers)
+    val helped = HttpServer(loop, clock, { limits().withOwnHeader() }, passedOn).also { it.shareMemory(callers) }
 
     /** Whether a configuration is known. */
     val configured: Boolean get() = context.state.configuration != null
--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -112,6 +112,12 @@
         }
     }
 
+    private fun passOnUnreachable(choice: Choice) = choice is Choice.None && state.hasUnreachable && passOn()
+
+    private fun refuse(refusal: Admission.Refuse) {
+        if (!resumeWait.begin { dispatch() }) end.onNoTarget(refusal)
+    }
+
     /** Passes the request on to another process; returns false if none is left. */
     internal fun passOn(): Boolean {
         val helper = state.helper() ?: return false
@@ -138,7 +144,7 @@
         when (admission) {
             is Admission.Send -> send(admission.target)
             is Admission.Wait -> inFlight.enqueue(this)
-            is Admission.Refuse -> if (!resumeWait.begin { dispatch() }) end.onNoTarget(admission)
+            is Admission.Refuse -> if (!passOnUnreachable(choice)) refuse(admission)
         }
         return admission
     }
--- a/gateway/src/main/kotlin/auburnhall/gateway/Isolation.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Isolation.kt
@@ -13,6 +13,7 @@
     private var probing = false
 
     init {
+        context.reachability.onSilence = ::connectToAny
         context.reachability.onChange = { context.scheduler.run(::onChange) }
     }
 
@@ -30,13 +31,17 @@
     private fun probe() {
         probing = context.reachability.isolated
         if (!probing) return
-        val workers =
-            context.state.targets.targets
-                .map { it.worker.address }
-        workers.randomOrNull()?.let { context.client.preconnect(it, PROBE_TIMEOUT_MS) }
+        connectToAny()
         context.scheduler.after(PROBE_PERIOD_MS, ::probe)
     }
 
+    private fun connectToAny() {
+        val target =
+            context.state.targets.targets
+                .randomOrNull() ?: return
+        context.client.preconnect(target.worker.address, PROBE_TIMEOUT_MS)
+    }
+
     private companion object {
         const val PROBE_TIMEOUT_MS = 400
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
@@ -59,9 +59,16 @@
     /** Number of targets, at least 1, that the request may still be sent to. */
     val attemptsLeft: Int get() = (accepted.route.maxAttempts - (sentTo.size - rejections)).coerceAtLeast(1)
 
-    /** Another process to pass the request on to; null if none is left, or if one has passed it on to this process. */
+    /** Whether no connection could be made to some of its targets. */
+    val hasUnreachable: Boolean get() = unreachable.isNotEmpty()
+
+    /**
+     * Another process to pass the request on to; null if none is left, or if one has passed it on to this process. While
+     * other workers are reached, one is asked at most: those of the request are likely to have failed.
+     */
     fun helper(): Target? {
-        if (accepted.passedOn) return null
+        val asked = declinedBy.isNotEmpty() && !context.reachability.isolated
+        if (accepted.passedOn || asked) return null
         return context.helpers.select(declinedBy)?.asTarget(accepted.service, accepted.metadata.model)
     }
 
--- a/http/src/main/kotlin/auburnhall/http/HttpServer.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpServer.kt
@@ -18,19 +18,19 @@
 import io.netty.handler.codec.http.HttpResponseEncoder
 import java.net.InetSocketAddress
 
-/** Serves HTTP/1.1 on [loop]; requests take memory together with those of [sharing], a server on the same loop. */
+/** Serves HTTP/1.1 on [loop]. */
 class HttpServer(
     private val loop: EventLoop,
     private val clock: Clock,
     private val limits: () -> CallerLimits,
     private val handler: RequestHandler,
-    sharing: HttpServer? = null,
 ) {
     private val connections = HashSet<CallerConnection>()
     private var listener: Channel? = null
 
     /** The memory that the bodies of requests take. */
-    internal val requestMemory: RequestMemory = sharing?.requestMemory ?: RequestMemory(EventLoopScheduler(loop))
+    internal var requestMemory = RequestMemory(EventLoopScheduler(loop))
+        private set
 
     /** Called when a request is refused because the bodies of all requests take too much memory. */
     var onMemoryRefusal: (MemoryRefusal) -> Unit = { }
@@ -54,6 +54,11 @@
     /** Bytes of memory that the bodies of requests take. Read on the loop. */
     val heldRequestBytes: Int get() = requestMemory.heldBytes
 
+    /** Lets the bodies of requests take memory together with those of [other], a server on the same loop; before [bind]. */
+    fun shareMemory(other: HttpServer) {
+        requestMemory = other.requestMemory
+    }
+
     /** Listens at [address]; the future fails if the port is in use. */
     fun bind(address: Address): ChannelFuture {
         val future =
--- a/routing/src/main/kotlin/auburnhall/routing/WorkerReachability.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/WorkerReachability.kt
@@ -25,6 +25,9 @@
     private var silence: ScheduledTask? = null
     private var isolatedAtMs: Long? = null
 
+    /** Called when nothing was heard for a while; should try a connection to any worker. */
+    var onSilence: () -> Unit = { }
+
     /** Called when [isolated] has changed. */
     var onChange: () -> Unit = { }
 
@@ -38,7 +41,13 @@
         if (isolated) return
         tried.add(worker)
         if (tried.size < MIN_WORKERS || silence != null) return
-        silence = scheduler.after(SILENCE_MS) { isolate("silent") }
+        silence = scheduler.after(SILENCE_MS, ::verify)
+    }
+
+    /** Slow workers are silent, too, but accept connections. */
+    private fun verify() {
+        silence = scheduler.after(VERIFICATION_MS) { isolate("silent") }
+        onSilence()
     }
 
     /** No connection to [worker] could be made. */
@@ -84,5 +93,8 @@
 
         /** Several times what a worker takes for its first byte; one that pauses for a second is not alone in this. */
         const val SILENCE_MS = 500L
+
+        /** Many round trips within a region. */
+        const val VERIFICATION_MS = 300L
     }
 }
