Keep the new classes within the linter's limits

Cause: detekt's defaults: functions per class, returns per function, line length, numbers. Ruled out: any change of behaviour. Change: RequestPassing holds what a request does to be passed on; what makes a process unfit to lead is one property.

--- a/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/ControlPlane.kt
@@ -64,7 +64,11 @@
     val replicas = ReplicaControllers(view, workers, context, listener)
 
     /** Whether this process reaches no worker; another one is the controller then. */
-    var isolated by leadership::isolated
+    var isolated = false
+        set(value) {
+            field = value
+            if (leadership.unfit != STOPPING) leadership.unfit = if (value) "no worker is reached" else null
+        }
 
     /** Whether this process is the controller. May be read on any thread. */
     val isLeading: Boolean get() = leadership.isLeading
@@ -102,7 +106,7 @@
 
     /** Ends the leases of the controller key and of the registration, so that other processes notice at once. */
     fun stop() {
-        leadership.stop()
+        leadership.unfit = STOPPING
         registration.stop()
     }
 
@@ -188,6 +192,7 @@
     }
 
     private companion object {
+        const val STOPPING = "stopping"
         const val TICK_PERIOD_MS = 100L
 
         /** Period of other processes: a small part of the age at which their state is too old. */
--- a/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/Leadership.kt
@@ -34,17 +34,18 @@
 
     @Volatile
     private var leading = false
-    private var stopped = false
     private var electedRevision = 0L
 
     /** Whether this process is the controller now. May be read from any thread. */
     val isLeading: Boolean get() = leading && lease.valid
 
-    /** Whether this process reaches no worker; it does not lead then, since it would take its own loss for theirs. */
-    var isolated = false
+    /** Why this process must not lead, in a few words; null if it may. Ends the term and its lease when it is set. */
+    var unfit: String? = null
         set(value) {
             field = value
-            if (value) resign("no worker is reached")
+            val held = lease.lease?.takeIf { value != null }
+            value?.let(::endTerm)
+            held?.let { context.store.revokeLease(it.id) { } }
         }
 
     /** The controller key was loaded or written; recognizes a claim of this process whose response was lost. */
@@ -81,7 +82,7 @@
      * names this process with a lease that it does not hold is removed.
      */
     fun onMirrored(item: StoreItem?) {
-        if (stopped || isolated || leading) return
+        if (unfit != null || leading) return
         if (item == null) {
             claims.schedule()
         } else if (String(item.value) != lease.keyValue) {
@@ -89,25 +90,13 @@
         }
     }
 
-    /** Ends the term and the lease because this process stops. */
-    fun stop() {
-        stopped = true
-        resign("stopping")
-    }
-
-    private fun resign(cause: String) {
-        val held = lease.lease
-        endTerm(cause)
-        held?.let { context.store.revokeLease(it.id) { } }
-    }
-
     /** Ends the term when its lease may have expired; called periodically. */
     fun check() {
         if (leading && !lease.valid) endTerm("the lease was not renewed in time")
     }
 
     private fun claim() {
-        if (stopped || isolated) return
+        if (unfit != null) return
         lease.claim { result ->
             result
                 .onSuccess {
@@ -119,9 +108,8 @@
 
     private fun beginTerm(position: StorePosition) {
         val held = lease.lease ?: return
-        val unfit = stopped || isolated
-        if (unfit) context.store.revokeLease(held.id) { }
-        if (leading || unfit) return
+        if (unfit != null) context.store.revokeLease(held.id) { }
+        if (leading || unfit != null) return
         leading = true
         electedRevision = position.revision
         lease.confirm()
--- a/entry/src/main/kotlin/auburnhall/entry/StoreAvailability.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreAvailability.kt
@@ -80,14 +80,11 @@
     fun update() {
         val since = unansweredSinceMs ?: return
         val seen = sightings.lastMs ?: return
-        if (seen <= failedAtMs) {
-            unansweredSinceMs = maxOf(since, seen)
-            return
+        unansweredSinceMs = if (seen <= failedAtMs) maxOf(since, seen) else null
+        if (seen > failedAtMs && seen - since >= MIN_OUTAGE_MS) {
+            outageEndedAtMs = seen
+            context.events.log("store.outage_ended", "after_ms" to seen - since)
         }
-        unansweredSinceMs = null
-        if (seen - since < MIN_OUTAGE_MS) return
-        outageEndedAtMs = seen
-        context.events.log("store.outage_ended", "after_ms" to seen - since)
     }
 
     /** What closes a connection was there until then; anything else may have gone on for longer. */
@@ -103,7 +100,7 @@
         const val FIRST_BACKOFF_MS = 50L
         const val MAX_BACKOFF_DOUBLINGS = 3
 
-        /** A worker that renews its entry every 1.2 s is removed after 3.6 s: of these, it misses two by itself at most. */
+        /** Workers renew their entries every 1.2 s; a shorter outage lets none miss the three times that end an entry. */
         const val MIN_OUTAGE_MS = 1_000L
 
         /** Time after the store is available again in which leases that were not renewed may still expire. */
--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -122,7 +122,7 @@
             responseHead = head.copy(notExecuted = !head.authentic && status !in UNCERTAIN_STATUSES)
         } else {
             responseHead = head
-            onWorkerHead(head)
+            context.onWorkerHead(target, head)
         }
         val relayed = headers.endToEnd()
         this.headers = relayed
@@ -133,15 +133,6 @@
         }
     }
 
-    private fun onWorkerHead(head: WorkerResponseHead) {
-        context.reachability.onHeard()
-        context.limits.onResponse(target, head.requestsPerSecond)
-        if (head.misdirected) context.limits.cold?.onNotReceived(target)
-        head.coldRemainingMs?.let { context.limits.cold?.onResponse(target, it) }
-        if (head.leaving) context.notices.onLeaving(target)
-        head.pauseMs?.let { context.notices.onPause(target, it) }
-    }
-
     override fun onContent(content: ByteBuf) {
         if (!target.helper) context.reachability.onHeard()
         val bytes = ByteArray(content.readableBytes())
@@ -237,3 +228,16 @@
 
 private fun Attempt.brokenOff() =
     CallFailure(CallStep.READ_BODY, target.worker.address, "stream ended inside an event", closedByPeer = true)
+
+/** Takes in what a worker, that of [target], says of itself in the [head] of a response. */
+private fun GatewayContext.onWorkerHead(
+    target: Target,
+    head: WorkerResponseHead,
+) {
+    reachability.onHeard()
+    limits.onResponse(target, head.requestsPerSecond)
+    if (head.misdirected) limits.cold?.onNotReceived(target)
+    head.coldRemainingMs?.let { limits.cold?.onResponse(target, it) }
+    if (head.leaving) notices.onLeaving(target)
+    head.pauseMs?.let { notices.onPause(target, it) }
+}
--- a/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
@@ -89,38 +89,25 @@
     ) {
         attempt.buffer.release()
         if (attempt !== state.attempt) return
-        if (attempt.onlyChecksEnd) return completion.complete()
-        if (attempt.target.helper) return onDeclined(attempt, "status ${head.status}")
-        if (head.pauseMs == null && !head.leaving) noteRejection(attempt.target)
-        state.detach(attempt)
-        state.onRejected()
-        val reason = "not_run_${head.status}"
-        val giveUp = { end.onNoTarget(Admission.Refuse(reason, RequestEnd.RETRY_AFTER_MS)) }
-        if (state.hasAttemptsLeft) request.retries.whenAllowed(reason, giveUp) else giveUp()
+        when {
+            attempt.onlyChecksEnd -> completion.complete()
+            attempt.target.helper -> request.passing.onDeclined(attempt, "status ${head.status}")
+            else -> onRejected(attempt, head)
+        }
     }
 
-    /** Another process did not take the request, as [cause] says; nothing was sent to a worker. */
-    private fun onDeclined(
+    private fun onRejected(
         attempt: Attempt,
-        cause: String,
+        head: WorkerResponseHead,
     ) {
-        val helper = attempt.target
-        context.listener.logRequest(
-            "request.declined",
-            state.accepted.id,
-            "helper" to helper.worker.id,
-            "cause" to cause,
-        )
+        if (head.pauseMs == null && !head.leaving) context.noteRejection(attempt.target)
         state.detach(attempt)
-        state.onDeclined(helper)
-        val giveUp = { end.onNoTarget(Admission.Refuse("no process reaches a worker", RequestEnd.RETRY_AFTER_MS)) }
-        if (!request.passOn()) request.retries.later(giveUp)
+        state.onRejected()
+        val reason = "not_run_${head.status}"
+        val giveUp = { end.onNoTarget(Admission.Refuse(reason, RequestEnd.RETRY_AFTER_MS)) }
+        if (state.hasAttemptsLeft) request.retries.whenAllowed(reason, giveUp) else giveUp()
     }
 
-    /** A worker that does not say why it rejects a request is avoided for a while. */
-    private fun noteRejection(target: Target) =
-        if (target.replica != null) context.health.markSuspect(target.key) else context.health.onFailure(target.key)
-
     /** [attempt] was cancelled before anything was sent, since nothing may be sent to its data centre any more. */
     fun onWithdrawn(attempt: Attempt) {
         context.listener.logRequest("request.withdrawn", state.accepted.id, "target" to attempt.target.key.text)
@@ -135,7 +122,7 @@
     ) {
         if (attempt !== state.attempt) return
         context.listener.logFailure(attempt, failure, state.accepted)
-        if (attempt.target.helper && !failure.sent) return onDeclined(attempt, failure.cause)
+        if (attempt.target.helper && !failure.sent) return request.passing.onDeclined(attempt, failure.cause)
         state.detach(attempt)
         if (attempt.target.helper) {
             context.helpers.onFailure(attempt.target.worker.id)
@@ -158,7 +145,7 @@
         val giveUp = { end.onError("could not connect to a target") }
         when {
             context.clock.nowMs() >= state.accepted.deadlineMs -> giveUp()
-            state.connectAttemptsExhausted -> if (!request.passOn()) request.retries.later(giveUp)
+            state.connectAttemptsExhausted -> if (!request.passing.passOn()) request.retries.later(giveUp)
             else -> request.dispatch()
         }
     }
@@ -187,3 +174,7 @@
     "partial_event_bytes" to attempt.partialEventBytes,
     "parts" to accepted.metadata.sharedParts.joinToString(","),
 )
+
+/** A worker that does not say why it rejects a request is avoided for a while. */
+private fun GatewayContext.noteRejection(target: Target) =
+    if (target.replica != null) health.markSuspect(target.key) else health.onFailure(target.key)
--- a/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
@@ -86,7 +86,7 @@
         metadata: WorkerRequestMetadata,
     ): HttpHeaders
 
-    /** Returns the headers of a request that is passed on to another process; all but the time left and the event stay. */
+    /** Returns the headers of a request that is passed on to another process: those of the caller's, updated. */
     fun passedOnHeaders(
         caller: HttpHeaders,
         timeLeftMs: Long,
--- a/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ForwardedRequest.kt
@@ -3,7 +3,6 @@
  */
 package auburnhall.gateway
 
-import auburnhall.core.logRequest
 import auburnhall.http.ResponseWriter
 import auburnhall.routing.Admission
 import auburnhall.routing.AdmissionPolicy
@@ -29,6 +28,9 @@
     /** Ends the request without a response from a worker. */
     internal val end = RequestEnd(state)
     private val outcomes = AttemptOutcomeHandler(context, state, this, end)
+
+    /** Passes the request on to other processes. */
+    internal val passing = RequestPassing(context, state, this, outcomes)
     private val supervision = ReplicaSupervision(context, state, this)
 
     /** The targets that can serve the request. */
@@ -96,35 +98,10 @@
         outcomes.onWithdrawn(current)
     }
 
-    /** Takes the request away from a worker that this process no longer reaches, if another process may serve it. */
-    fun leaveUnreachable() {
-        val current = state.attempt?.takeIf { !it.target.helper } ?: return
-        if (current.isConnecting) {
-            current.cancel()
-            state.onWithdrawn(current.target.key)
-            outcomes.onWithdrawn(current)
-        } else if (state.mayRepeat && !current.onlyChecksEnd) {
-            val helper = state.helper()?.takeIf { retries.acquire("unreachable") } ?: return
-            current.cancel()
-            state.detach(current)
-            state.mayHaveExecuted = true
-            send(helper)
-        }
-    }
-
-    private fun passOnUnreachable(choice: Choice) = choice is Choice.None && state.hasUnreachable && passOn()
-
     private fun refuse(refusal: Admission.Refuse) {
         if (!resumeWait.begin { dispatch() }) end.onNoTarget(refusal)
     }
 
-    /** Passes the request on to another process; returns false if none is left. */
-    internal fun passOn(): Boolean {
-        val helper = state.helper() ?: return false
-        send(helper)
-        return true
-    }
-
     private fun decide(): Admission {
         val choice = state.choose()
         val admission =
@@ -144,7 +121,7 @@
         when (admission) {
             is Admission.Send -> send(admission.target)
             is Admission.Wait -> inFlight.enqueue(this)
-            is Admission.Refuse -> if (!passOnUnreachable(choice)) refuse(admission)
+            is Admission.Refuse -> if (!passing.insteadOf(choice)) refuse(admission)
         }
         return admission
     }
@@ -157,7 +134,7 @@
         val attemptsLeft = state.attemptsLeft
         state.onSent(target.key)
         resumeWait.end()
-        if (target.helper) logPassedOn(target, attemptsLeft) else inFlight.queue.onSent(pool)
+        if (target.helper) passing.onSent(target, attemptsLeft) else inFlight.queue.onSent(pool)
         val resumeAfterEventId = callerResponse.lastEventId?.toString() ?: accepted.metadata.lastEventId
         val options = AttemptOptions(resumeAfterEventId, priority, checksEnd, attemptsLeft)
         val attempt = Attempt(context, accepted, target, options, outcomes)
@@ -167,18 +144,6 @@
         if (!response.writable) attempt.setReading(false)
     }
 
-    private fun logPassedOn(
-        target: Target,
-        attemptsLeft: Int,
-    ) = context.listener.logRequest(
-        "request.passed_on",
-        accepted.id,
-        "helper" to target.worker.id,
-        "isolated" to context.reachability.isolated,
-        "attempts_left" to attemptsLeft,
-        "after_event" to callerResponse.lastEventId,
-    )
-
     private companion object {
         /** Assumed time from sending a request with a short prompt to its first event. */
         const val FIRST_EVENT_DELAY_MS = 130L
--- a/gateway/src/main/kotlin/auburnhall/gateway/Helpers.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Helpers.kt
@@ -1,6 +1,6 @@
 /*
  * The processes to which this one can pass requests on while it reaches no worker. Processes of the own data centre are
- * asked first, but all of them may have lost their workers together, so that only the first tries of a request go there.
+ * asked first, but all of them may have lost their workers together, so only the first tries of a request go there.
  */
 package auburnhall.gateway
 
--- a/gateway/src/main/kotlin/auburnhall/gateway/InFlightRequests.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/InFlightRequests.kt
@@ -20,6 +20,9 @@
     /** Requests that wait for a free slot; add to it with [enqueue]. */
     val queue = AdmissionQueue(context.clock)
 
+    /** All requests that are being forwarded. */
+    val requests: List<ForwardedRequest> get() = all.toList()
+
     /** [request] begins to be forwarded. */
     fun onStarted(request: ForwardedRequest) {
         all.add(request)
@@ -66,12 +69,6 @@
         evacuated.onEvacuated(dataCentres)
     }
 
-    /** No worker is reached any more: requests leave the workers that they were sent to. */
-    fun leaveUnreachable() {
-        all.toList().forEach { it.leaveUnreachable() }
-        queue.dispatchAll()
-    }
-
     private fun checkBy(atMs: Long) {
         if (atMs >= timerAtMs) return
         timer?.cancel()
--- a/gateway/src/main/kotlin/auburnhall/gateway/Isolation.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Isolation.kt
@@ -21,11 +21,10 @@
         onIsolated(context.reachability.isolated)
         if (context.reachability.isolated) {
             context.client.closeIdleConnections(null)
-            inFlight.leaveUnreachable()
+            inFlight.requests.forEach { it.passing.leaveUnreachable() }
             if (!probing) probe()
-        } else {
-            inFlight.queue.dispatchAll()
         }
+        inFlight.queue.dispatchAll()
     }
 
     private fun probe() {
--- a/gateway/src/main/kotlin/auburnhall/gateway/PassedOnRequests.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/PassedOnRequests.kt
@@ -28,10 +28,10 @@
 
         /** Reads and removes what [write] wrote; null if it is missing or unreadable. */
         fun take(headers: HttpHeaders): PassOn? {
-            val value = headers.get(HEADER) ?: return null
+            val value = headers.get(HEADER).orEmpty()
             headers.remove(HEADER)
-            val attemptsLeft = value.substringAfterLast(',').toIntOrNull() ?: return null
-            return PassOn(value.substringBeforeLast(','), attemptsLeft.coerceAtLeast(1))
+            val attemptsLeft = value.substringAfterLast(',').toIntOrNull()
+            return attemptsLeft?.let { PassOn(value.substringBeforeLast(','), it.coerceAtLeast(1)) }
         }
     }
 }
--- a/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
@@ -21,13 +21,14 @@
     private val sentTo = LinkedHashSet<TargetKey>()
     private val unreachable = HashSet<TargetKey>()
 
-    /** The processes that did not take the request. */
-    private val declinedBy = HashSet<String>()
     private var rejections = 0
 
     /** Keeps the request from crashing workers. */
     internal val crashes = CrashPrevention(context, accepted)
 
+    /** The processes that it can be passed on to. */
+    internal val helpers = RequestHelpers(context, accepted)
+
     /** Ends the request at its deadline. */
     var deadlineTask: ScheduledTask? = null
 
@@ -62,31 +63,10 @@
     /** Whether no connection could be made to some of its targets. */
     val hasUnreachable: Boolean get() = unreachable.isNotEmpty()
 
-    /**
-     * Another process to pass the request on to; null if none is left, or if one has passed it on to this process. While
-     * other workers are reached, one is asked at most: those of the request are likely to have failed.
-     */
-    fun helper(): Target? {
-        val asked = declinedBy.isNotEmpty() && !context.reachability.isolated
-        if (accepted.passedOn || asked) return null
-        return context.helpers.select(declinedBy)?.asTarget(accepted.service, accepted.metadata.model)
-    }
-
-    /** Chooses the next target among those that the request was not sent to; another process if no worker is reached. */
-    fun choose(): Choice = if (context.reachability.isolated) chooseHelper() else chooseWorker()
-
-    private fun chooseHelper(): Choice {
-        val helper = helper()
-        return when {
-            helper != null -> Choice.Send(helper, 0)
-            declinedBy.isEmpty() -> chooseWorker()
-            else -> Choice.None
-        }
-    }
-
-    private fun chooseWorker(): Choice {
+    /** Chooses the next target that the request was not sent to: another process if no worker is reached. */
+    fun choose(): Choice {
         val requirements = TargetRequirements(accepted.service, accepted.metadata.model, sentTo + unreachable)
-        val choice = context.router.choose(requirements, targets(), context::waitMs)
+        val choice = helpers.choose() ?: context.router.choose(requirements, targets(), context::waitMs)
         return if (choice is Choice.None && isEvacuated()) Choice.Evacuated else choice
     }
 
@@ -103,13 +83,6 @@
         sentTo.add(key)
     }
 
-    /** Records that the process [helper] did not take the request, so that nothing was sent to a worker. */
-    fun onDeclined(helper: Target) {
-        sentTo.remove(helper.key)
-        declinedBy.add(helper.worker.id)
-        context.helpers.onFailure(helper.worker.id)
-    }
-
     /** Records that no connection to [key] could be made, so that nothing was sent. */
     fun onUnreachable(key: TargetKey) {
         sentTo.remove(key)
--- a/http/src/main/kotlin/auburnhall/http/HttpClient.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpClient.kt
@@ -101,19 +101,9 @@
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.ALLOW_HALF_CLOSURE, true)
-            .handler(initializer(connection))
+            .handler(ConnectionInitializer(connection))
             .connect(connection.peer.host, connection.peer.port)
 
-    private fun initializer(connection: ClientConnection) =
-        object : ChannelInitializer<Channel>() {
-            // Without this, Netty reads the annotations of the class, which takes long when a process starts.
-            override fun isSharable() = true
-
-            override fun initChannel(channel: Channel) {
-                connection.handlers.forEach { channel.pipeline().addLast(it) }
-            }
-        }
-
     internal fun onOpened() {
         connects++
         openConnections++
@@ -131,6 +121,17 @@
     }
 }
 
+private class ConnectionInitializer(
+    private val connection: ClientConnection,
+) : ChannelInitializer<Channel>() {
+    // Without this, Netty reads the annotations of the class, which takes long when a process starts.
+    override fun isSharable() = true
+
+    override fun initChannel(channel: Channel) {
+        connection.handlers.forEach { channel.pipeline().addLast(it) }
+    }
+}
+
 /** A call whose connection is being established. */
 internal class PendingConnect(
     private val connection: ClientConnection,
--- a/http/src/main/kotlin/auburnhall/http/HttpServer.kt
+++ b/http/src/main/kotlin/auburnhall/http/HttpServer.kt
@@ -54,7 +54,7 @@
     /** Bytes of memory that the bodies of requests take. Read on the loop. */
     val heldRequestBytes: Int get() = requestMemory.heldBytes
 
-    /** Lets the bodies of requests take memory together with those of [other], a server on the same loop; before [bind]. */
+    /** Lets the bodies of requests share the memory of [other], a server on the same loop; call before [bind]. */
     fun shareMemory(other: HttpServer) {
         requestMemory = other.requestMemory
     }
--- a/http/src/main/kotlin/auburnhall/http/ResponseHeads.kt
+++ b/http/src/main/kotlin/auburnhall/http/ResponseHeads.kt
@@ -71,7 +71,8 @@
 private val STATUS_LINE = Regex("HTTP/1\\.[01] [1-5]\\d\\d")
 
 /** The statuses that HTTP defines classes for; any other one has no meaning that could be passed on. */
-private val STATUSES = 100..599
+private val STATUSES = HttpResponseStatus.CONTINUE.code()..LAST_STATUS
+private const val LAST_STATUS = 599
 
 /** Statuses of responses that have no body, whatever their headers say. */
 private val BODILESS_STATUSES = setOf(HttpResponseStatus.NO_CONTENT.code(), HttpResponseStatus.NOT_MODIFIED.code())
