--- a/entry/src/main/kotlin/auburnhall/entry/StoreAvailability.kt
+++ b/entry/src/main/kotlin/auburnhall/entry/StoreAvailability.kt
@@ -100,7 +100,7 @@
         const val FIRST_BACKOFF_MS = 50L
         const val MAX_BACKOFF_DOUBLINGS = 3
 
-        /** Workers renew their entries every 1.2 s; a shorter outage lets none miss the three times that end an entry. */
+        /** Workers renew entries every 1.2 s; a shorter outage lets none miss the three times that end an entry. */
         const val MIN_OUTAGE_MS = 1_000L
 
         /** Time after the store is available again in which leases that were not renewed may still expire. */
