--- a/routing/src/main/kotlin/auburnhall/routing/WorkerReachability.kt
+++ b/routing/src/main/kotlin/auburnhall/routing/WorkerReachability.kt
@@ -1,7 +1,7 @@
 /*
  * Decides whether this process reaches any worker. A worker that fails, or falls silent for a moment, says nothing
  * about the others; but when several were tried one after the other, and nothing was heard from any worker meanwhile,
- * the links of this process are the likely cause. Designed for processes with a few requests a second, which have little
+ * the links of this process are the likely cause. Designed for processes with few requests a second, which have little
  * to go by, and for a large part of all processes losing their links at the same time.
  */
 package auburnhall.routing
