--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -45,7 +45,9 @@
     var sent = true
         private set
     private var call: OutboundCall? = null
-    private var released = false
+
+    /** Whether it counts no longer in the load of its target; a helper counts the request itself. */
+    private var released = target.helper
     private val startedAtMs = context.clock.nowMs()
     private var unreadTokens = accepted.metadata.promptTokens
     private var responseHead: WorkerResponseHead? = null
@@ -105,7 +107,7 @@
 
     /** Removes the request from the load of the target; further calls do nothing. */
     fun release() {
-        if (released || target.helper) return
+        if (released) return
         released = true
         context.load.end(target.key, unreadTokens)
         context.unreported.onEnded(target.served, ageMs)
--- a/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/RequestState.kt
@@ -20,7 +20,6 @@
 ) {
     private val sentTo = LinkedHashSet<TargetKey>()
     private val unreachable = HashSet<TargetKey>()
-
     private var rejections = 0
 
     /** Keeps the request from crashing workers. */
