--- a/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
+++ b/entry/src/test/kotlin/auburnhall/entry/ControlTest.kt
@@ -213,7 +213,7 @@
         tick(processes, times = 5)
         assertEquals(1, processes.count { it.isLeading })
         val leader = processes.first { it.isLeading }
-        leader.stop()
+        leader.unfit = "stopping"
         time.advance(50)
         assertFalse(leader.isLeading)
         tick(processes, times = 5)
