--- a/review/src-2/Case.java
+++ b/review/src-2/Case.java
@@ -25,7 +25,7 @@
     Store store;
     Worker.Site site;
     private Path folder;
-    private final String net = "127." + (60 + (int) (ProcessHandle.current().pid() % 150)) + ".7.";
+    private final String net = freeNet();
 
     /** Plays the case; true if the rule held. */
     abstract boolean play() throws Exception;
@@ -65,6 +65,14 @@
         System.exit(status[0]);
     }
 
+    /** The beginning of loopback addresses at which no other run has processes; they listen at port 9464, too. */
+    private static String freeNet() {
+        while (true) {
+            String net = "127." + (60 + (int) (Math.random() * 150)) + "." + (1 + (int) (Math.random() * 120)) + ".";
+            if (Entry.isFree(net + "11", 9464) && Entry.isFree(net + "12", 9464)) return net;
+        }
+    }
+
     long nowMs() {
         return (System.nanoTime() - startNs) / 1_000_000;
     }
@@ -115,11 +123,18 @@
     }
 
     void startEntries(int count, String zone) throws IOException {
+        List<String> stores = Collections.nCopies(count, store.server.address());
+        startEntries(zone, stores);
+    }
+
+    /** Starts a process for each address of the store. */
+    void startEntries(String zone, List<String> stores) throws IOException {
+        int count = stores.size();
         String[] ips = new String[count];
         for (int i = 0; i < count; i++) ips[i] = ip(11 + i);
         int[] ports = Entry.freePorts(ips);
         for (int i = 0; i < count; i++) {
-            Entry entry = new Entry(folder, "edge-" + zone + "-" + (i + 1), ips[i], zone, ports, store.server.address());
+            Entry entry = new Entry(folder, "edge-" + zone + "-" + (i + 1), ips[i], zone, ports, stores.get(i));
             entries.add(entry);
             entry.start();
         }
@@ -139,6 +154,14 @@
         return workers.stream().filter(Worker::isOpenHead).count();
     }
 
+    static void pause(long ms) {
+        try {
+            Thread.sleep(ms);
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     Thread spawn(Runnable task) {
         Thread thread = new Thread(task, "client");
         thread.setDaemon(true);
@@ -161,11 +184,15 @@
             + "\"tls\":false,\"engine\":{\"slots\":18,\"kv_capacity_tokens\":1710000,\"stride\":6,\"models\":["
             + model(size) + "],\"step_ms\":6.45,\"per_seq_ms\":0.14,\"context_per_k\":0.004,\"read_per_s\":56100.0,"
             + "\"chunk\":2048,\"report_lag_ms\":200.0,\"loads_per_s\":5.5,\"loads_at_once\":8,\"retained\":1,"
-            + "\"form_ms\":100.0}}";
+            + "\"form_ms\":300.0}}";
     }
 
     static String plainService() {
-        return "{\"name\":\"wuno96b\",\"health_path\":\"/health\",\"max_connections\":105,\"protocol\":\"h1\","
+        return plainService("wuno96b");
+    }
+
+    static String plainService(String name) {
+        return "{\"name\":\"" + name + "\",\"health_path\":\"/health\",\"max_connections\":105,\"protocol\":\"h1\","
             + "\"tls\":false}";
     }
 
@@ -177,8 +204,12 @@
     }
 
     static String orderRoute() {
+        return orderRoute("wuno96b");
+    }
+
+    static String orderRoute(String service) {
         return "{\"name\":\"r-order\",\"host\":\"ficu95.example\",\"prefix\":\"/puxa403/\",\"kind\":\"non_idempotent\","
-            + "\"timeout_ms\":1500,\"target_latency_ms\":200,\"priority\":2,\"service\":\"wuno96b\","
+            + "\"timeout_ms\":1500,\"target_latency_ms\":200,\"priority\":2,\"service\":\"" + service + "\","
             + "\"max_attempts\":2,\"anonymous\":false}";
     }
 
--- a/review/src-2/CrashingPart.java
+++ b/review/src-2/CrashingPart.java
@@ -63,14 +63,6 @@
         }
     }
 
-    private static void pause(long ms) {
-        try {
-            Thread.sleep(ms);
-        } catch (InterruptedException e) {
-            throw new IllegalStateException(e);
-        }
-    }
-
     private boolean judge(long beforeMs) {
         note(crashes + " crashes, the last after " + lastCrashMs + " ms; open heads now: " + openHeads());
         long fromMs = TROUBLE ? lastCrashMs + 2 * CONTACT_MS : beforeMs;
--- a/review/src-2/Entry.java
+++ b/review/src-2/Entry.java
@@ -50,7 +50,7 @@
         return ports;
     }
 
-    private static boolean isFree(String ip, int port) {
+    static boolean isFree(String ip, int port) {
         try (ServerSocket probe = new ServerSocket(port, 1, InetAddress.getByName(ip))) {
             return true;
         } catch (IOException e) {
--- a/review/src-2/Http.java
+++ b/review/src-2/Http.java
@@ -4,7 +4,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -51,7 +50,7 @@
     }
 
     /** The connection on which a request came. */
-    static final class Exchange {
+    static class Exchange {
         final Socket socket;
         final OutputStream out;
 
@@ -96,11 +95,6 @@
         }
     }
 
-    /** Says what happens to a new connection from an address: true to serve it, false to reset it. */
-    interface Gate {
-        boolean admits(InetAddress from);
-    }
-
     /** A listening server. */
     static final class Server {
         private final String host;
@@ -108,20 +102,28 @@
         private final Handler handler;
         private volatile ServerSocket socket;
         private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
-        volatile Gate gate = from -> true;
 
         Server(String host, Handler handler) throws IOException {
+            this(host, 0, handler);
+        }
+
+        Server(String host, int port, Handler handler) throws IOException {
             this.host = host;
+            this.port = port;
             this.handler = handler;
             listen();
-            port = socket.getLocalPort();
+            this.port = socket.getLocalPort();
+        }
+
+        int port() {
+            return port;
         }
 
         String address() {
             return host + ":" + port;
         }
 
-        /** Begins to listen, again at the same port after {@link #crash}. */
+        /** Begins to listen, again at the same port after {@link #refuse} or {@link #crash}. */
         void listen() throws IOException {
             ServerSocket listening = new ServerSocket();
             listening.setReuseAddress(true);
@@ -132,13 +134,18 @@
             thread.start();
         }
 
-        /** Stops listening and resets all connections. */
-        void crash() {
+        /** Refuses new connections until {@link #listen} is called; those that are open live on. */
+        void refuse() {
             try {
                 socket.close();
             } catch (IOException e) {
                 // It is closed.
             }
+        }
+
+        /** Stops listening and resets all connections. */
+        void crash() {
+            refuse();
             connections.forEach(Http::reset);
             connections.clear();
         }
@@ -147,10 +154,6 @@
             while (!listening.isClosed()) {
                 try {
                     Socket accepted = listening.accept();
-                    if (!gate.admits(accepted.getInetAddress())) {
-                        reset(accepted);
-                        continue;
-                    }
                     accepted.setTcpNoDelay(true);
                     connections.add(accepted);
                     Thread thread = new Thread(() -> serve(accepted), "connection");
--- a/review/src-2/Store.java
+++ b/review/src-2/Store.java
@@ -33,8 +33,41 @@
     private final Map<Long, Lease> leases = new HashMap<>();
     private long revision = 100;
     private long nextLease = 7000;
+    private int era = 1;
     final Http.Server server;
 
+    /**
+     * A second address of the store, by which a process sees the workers at addresses of its own. So that what it has
+     * to the workers, and to the store, can be cut without the others.
+     */
+    Http.Server path(String host, java.util.function.UnaryOperator<String> addresses) throws IOException {
+        return new Http.Server(host, (request, exchange) -> onRequest(request, new Http.Exchange(exchange.socket) {
+            @Override
+            void send(int status, Map<String, String> headers, String body) throws IOException {
+                super.send(status, headers, rewritten(body, addresses));
+            }
+        }));
+    }
+
+    private static String rewritten(String body, java.util.function.UnaryOperator<String> addresses) {
+        Map<String, Object> parsed = Json.object(body);
+        rewrite(parsed, addresses);
+        return Json.write(parsed);
+    }
+
+    @SuppressWarnings("unchecked")
+    private static void rewrite(Map<String, Object> item, java.util.function.UnaryOperator<String> addresses) {
+        for (String list : List.of("items", "events")) {
+            if (item.get(list) != null) ((List<Map<String, Object>>) item.get(list)).forEach(x -> rewrite(x, addresses));
+        }
+        if (!(item.get("key") instanceof String key) || !key.startsWith("servers/") || item.get("value") == null) return;
+        String text = new String(Base64.getDecoder().decode((String) item.get("value")), StandardCharsets.UTF_8);
+        Map<String, Object> entry = Json.object(text);
+        entry.put("address", addresses.apply((String) entry.get("address")));
+        byte[] bytes = Json.write(entry).getBytes(StandardCharsets.UTF_8);
+        item.put("value", Base64.getEncoder().encodeToString(bytes));
+    }
+
     Store(String host) throws IOException {
         server = new Http.Server(host, this);
         Thread expiry = new Thread(this::expire, "expiry");
@@ -105,7 +138,10 @@
                 return send(exchange, item == null ? 404 : 200, item == null ? Json.map() : item.json());
             }
         }
-        if (path.equals("kv-watch")) return send(exchange, 200, watch(query));
+        if (path.equals("kv-watch")) {
+            Map<String, Object> found = watch(query);
+            return send(exchange, found == null ? 410 : 200, found == null ? Json.map() : found);
+        }
         if (path.equals("kv-txn")) return commit(Json.object(request.text()), exchange);
         if (path.equals("kv-lease")) {
             long ttlMs = ((Number) Json.object(request.text()).get("ttl_ms")).longValue();
@@ -130,8 +166,8 @@
         return send(exchange, 404, Json.map());
     }
 
-    private static boolean send(Http.Exchange exchange, int status, Map<String, Object> body) throws IOException {
-        exchange.send(status, Map.of("Content-Type", "application/json", "Store-Era", "1"), Json.write(body));
+    private boolean send(Http.Exchange exchange, int status, Map<String, Object> body) throws IOException {
+        exchange.send(status, Map.of("Content-Type", "application/json", "Store-Era", "" + era), Json.write(body));
         return true;
     }
 
@@ -151,11 +187,43 @@
         return Json.map("items", found, "has_more", more, "at", revision);
     }
 
+    /** A copy of what the store holds now. */
+    synchronized Copy copy() {
+        Map<Long, Lease> held = new HashMap<>();
+        leases.forEach((id, lease) -> {
+            Lease same = new Lease();
+            same.ttlMs = lease.ttlMs;
+            held.put(id, same);
+        });
+        return new Copy(new TreeMap<>(items), held, revision, nextLease);
+    }
+
+    /** The store comes back from the copy: revisions go back, and what was written since is gone. */
+    synchronized void restore(Copy copy) {
+        items.clear();
+        items.putAll(copy.items);
+        leases.clear();
+        copy.leases.forEach((id, lease) -> {
+            lease.endsAtNs = System.nanoTime() + lease.ttlMs * 1_000_000;
+            leases.put(id, lease);
+        });
+        history.clear();
+        revision = copy.revision;
+        nextLease = copy.nextLease;
+        era++;
+        notifyAll();
+    }
+
+    record Copy(TreeMap<String, Item> items, Map<Long, Lease> leases, long revision, long nextLease) {}
+
     private synchronized Map<String, Object> watch(Map<String, String> query) throws InterruptedException {
         String prefix = query.getOrDefault("prefix", "");
         long after = Long.parseLong(query.get("after_revision"));
         long endNs = System.nanoTime() + Long.parseLong(query.get("wait_ms")) * 1_000_000;
+        int begunIn = era;
         while (true) {
+            boolean known = after >= revision || (!history.isEmpty() && history.get(0).revision <= after + 1);
+            if (after > revision || !known || era != begunIn) return null;
             List<Object> events = new ArrayList<>();
             for (int i = history.size() - 1; i >= 0 && history.get(i).revision > after; i--) {
                 if (history.get(i).key.startsWith(prefix)) events.add(0, history.get(i).json());
--- a/review/src-2/Worker.java
+++ b/review/src-2/Worker.java
@@ -41,7 +41,7 @@
     private static final long HEARTBEAT_MS = 1_200;
     private static int starts = 0;
     private final Site site;
-    private final String service;
+    final String service;
     private final String zone;
     private final String domain;
     final Http.Server server;
@@ -57,6 +57,11 @@
     private long sequence;
     private long incompleteSinceNs;
 
+    /** Listens at the same port of another address, too: the path of one process to this worker. */
+    Http.Server path(String host) throws IOException {
+        return new Http.Server(host, server.port(), this);
+    }
+
     Worker(Site site, String host, String service, String zone, String domain) throws IOException {
         this.site = site;
         this.service = service;
@@ -162,6 +167,11 @@
         return entry;
     }
 
+    /** Writes its entry again, as after a restore of the store. */
+    synchronized void rewrite() {
+        publish();
+    }
+
     private synchronized void publish() {
         if (!down) site.store.put("servers/" + id, Json.write(state()));
     }
@@ -268,7 +278,7 @@
                 if (!group.state.equals("in_service")) return 409;
                 sequence++;
                 Group opening = group;
-                after(100, () -> {
+                after(300, () -> {
                     synchronized (this) {
                         if (group != opening || this.life != life) return;
                         group = opening.in("open");
