Review 2, case 7: an order that a worker has run is passed on to another process

Cause: a machine that reaches no worker takes any unsigned answer of a helping process, but 500, 502 and 504, for a refusal of its own, also one of a worker that has run the order. Nothing is fixed.

--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -3,4 +3,4 @@
 # could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -d target/review-2 ] || { echo "run review/build-2.sh first"; exit 2; }
-exec java -Xmx128m -cp target/review-2 NoController review/7
+exec java -Xmx128m -cp target/review-2 RunTwice review/7
--- a/review/src-2/Case.java
+++ b/review/src-2/Case.java
@@ -169,6 +169,14 @@
         return thread;
     }
 
+    /** The address by which the first machine reaches a worker, so that its path can be cut alone. */
+    static String otherPath(String address) {
+        int dot = address.lastIndexOf('.');
+        int colon = address.indexOf(':');
+        int last = Integer.parseInt(address.substring(dot + 1, colon)) + 100;
+        return address.substring(0, dot + 1) + last + address.substring(colon);
+    }
+
     /** An attempt id. */
     String attempt(String kind, int number) {
         return String.format("%s%08x", kind, number);
--- a/review/src-2/StaleHelper.java
+++ b/review/src-2/StaleHelper.java
@@ -35,7 +35,7 @@
             services.put(attempt, worker.service);
         };
         // The first machine reaches the workers by addresses of its own, the second one the store.
-        Http.Server first = store.path(ip(2), this::otherPath);
+        Http.Server first = store.path(ip(2), Case::otherPath);
         Http.Server second = store.path(ip(3), address -> address);
         startEntries("akl-a", List.of(first.address(), second.address()));
         await("both processes are ready", 20_000, () -> entries.stream().allMatch(entry -> entry.readiness() == 200));
@@ -73,13 +73,6 @@
         return judge(acknowledgedMs);
     }
 
-    private String otherPath(String address) {
-        int dot = address.lastIndexOf('.');
-        int colon = address.indexOf(':');
-        int last = Integer.parseInt(address.substring(dot + 1, colon)) + 100;
-        return address.substring(0, dot + 1) + last + address.substring(colon);
-    }
-
     private void send() {
         int number = 0;
         while (sending) {
--- a/review/src-2/Worker.java
+++ b/review/src-2/Worker.java
@@ -23,6 +23,8 @@
         volatile java.util.function.BiConsumer<String, Worker> onRun = (attempt, worker) -> {};
         /** Called when a worker has crashed. */
         volatile java.util.function.Consumer<Worker> onCrash = worker -> {};
+        /** Whether the application turns an order down once it has run it: with 409, which says nothing of "not run". */
+        volatile java.util.function.Predicate<String> turnsDown = attempt -> false;
         volatile int events = 10;
         volatile long eventMs = 60;
 
@@ -229,6 +231,10 @@
                 if (domain != null) return stream(request, exchange, headers, attempt);
                 site.onRun.accept(attempt, this);
                 Thread.sleep(20);
+                if (site.turnsDown.test(attempt)) {
+                    exchange.send(409, headers, "{\"error\":\"out of stock\"}");
+                    return true;
+                }
                 headers.put("Response-Stamp", id + "." + attempt);
                 exchange.send(200, headers, "{\"order\":\"" + attempt + "\"}");
             }
