--- a/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
@@ -65,7 +65,8 @@
         when {
             retry && request.retries.tryNow("worker_${head.status}") -> Unit
             else -> {
-                state.end(if (failed) "worker_error" else "served", listOf("status" to head.status))
+                val details = listOf("status" to head.status, "signed" to head.authentic)
+                state.end(if (failed) "worker_error" else "served", details)
                 response.sendComplete(head.status, headers, body, attempt.buffer::release)
             }
         }
@@ -91,7 +92,7 @@
         if (attempt !== state.attempt) return
         when {
             attempt.onlyChecksEnd -> completion.complete()
-            attempt.target.helper -> request.passing.onDeclined(attempt, "status ${head.status}")
+            attempt.target.helper -> request.passing.onDeclined(attempt, head.describe())
             else -> onRejected(attempt, head)
         }
     }
@@ -175,6 +176,8 @@
     "parts" to accepted.metadata.sharedParts.joinToString(","),
 )
 
+private fun WorkerResponseHead.describe() = "status $status, ${if (authentic) "signed" else "not signed"}"
+
 /** A worker that does not say why it rejects a request is avoided for a while. */
 private fun GatewayContext.noteRejection(target: Target) =
     if (target.replica != null) health.markSuspect(target.key) else health.onFailure(target.key)
--- a/gateway/src/main/kotlin/auburnhall/gateway/PassedOnRequests.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/PassedOnRequests.kt
@@ -64,7 +64,7 @@
             response.send(UNAVAILABLE, context.codecs.caller.refusalHeaders(metadata.id, null), ByteArray(0))
         } else {
             taken++
-            context.listener.logRequest("request.taken_over", metadata.id ?: "-", "process" to passOn.process)
+            context.listener.logRequest("request.taken_over", metadata.id ?: "-", "from" to passOn.process)
             gateway.serve(request, response, passOn)
         }
     }
