--- a/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Attempt.kt
@@ -9,7 +9,6 @@
 import auburnhall.http.Framing
 import auburnhall.http.OutboundCall
 import auburnhall.http.ResponseListener
-import auburnhall.http.endToEnd
 import auburnhall.routing.Target
 import io.netty.buffer.ByteBuf
 import io.netty.handler.codec.http.HttpHeaders
@@ -50,8 +49,7 @@
     private var released = target.helper
     private val startedAtMs = context.clock.nowMs()
     private var unreadTokens = accepted.metadata.promptTokens
-    private var responseHead: WorkerResponseHead? = null
-    private var headers: HttpHeaders? = null
+    private var response: ReceivedHead? = null
     private val body = ByteArrayOutputStream()
 
     /** The bytes of the response that are held; whoever passes the body on releases it. */
@@ -119,19 +117,11 @@
         framing: Framing,
     ) {
         this.framing = framing
-        val head = context.codecs.worker.read(status, headers)
-        if (target.helper) {
-            responseHead = head.copy(notExecuted = !head.authentic && status !in UNCERTAIN_STATUSES)
-        } else {
-            responseHead = head
-            context.onWorkerHead(target, head)
-        }
-        val relayed = headers.endToEnd()
-        this.headers = relayed
-        val success = status in SUCCESS_STATUSES
-        if (success && head.authentic && head.eventStream) {
+        val received = context.receiveHead(target, status, headers)
+        response = received
+        if (received.beginsStream) {
             relaying = true
-            listener.onStreamHead(this, relayed)
+            listener.onStreamHead(this, received.headers)
         }
     }
 
@@ -176,25 +166,25 @@
     }
 
     override fun onEnd() {
-        val head = checkNotNull(responseHead)
-        val success = head.status in SUCCESS_STATUSES
-        when {
-            relaying && isBrokenOff -> onFailure(brokenOff())
-            relaying -> {
-                if (hasEvents && framing != Framing.CLOSE) establish(firstEventAtMs)
-                listener.onStreamEnd(this, events.remainder)
-            }
-            head.notExecuted -> listener.onNotExecuted(this, head)
-            target.helper && !head.authentic ->
-                onFailure(CallFailure(CallStep.READ_BODY, target.worker.address, "helper ended with ${head.status}"))
-            success && !head.authentic ->
+        val received = checkNotNull(response)
+        when (val meaning = received.meaning) {
+            is ResponseMeaning.NotExecuted -> listener.onNotExecuted(this, received.head)
+            is ResponseMeaning.Failed ->
                 onFailure(
-                    CallFailure(CallStep.READ_BODY, target.worker.address, "response is not signed or was re-encoded"),
+                    CallFailure(CallStep.READ_BODY, target.worker.address, meaning.fault),
                 )
-            else -> {
-                if (success) establish(startedAtMs)
-                listener.onFullResponse(this, head, checkNotNull(headers), body.toByteArray())
-            }
+            is ResponseMeaning.Final ->
+                when {
+                    relaying && isBrokenOff -> onFailure(brokenOff())
+                    relaying -> {
+                        if (hasEvents && framing != Framing.CLOSE) establish(firstEventAtMs)
+                        listener.onStreamEnd(this, events.remainder)
+                    }
+                    else -> {
+                        if (received.head.isSuccess) establish(startedAtMs)
+                        listener.onFullResponse(this, received.head, received.headers, body.toByteArray())
+                    }
+                }
         }
     }
 
@@ -210,11 +200,6 @@
     }
 
     private companion object {
-        val SUCCESS_STATUSES = 200..299
-
-        /** With these, another process states nothing about whether it has sent a request to a worker. */
-        val UNCERTAIN_STATUSES = setOf(500, BAD_GATEWAY, GATEWAY_TIMEOUT)
-
         /** Many round trips within a region; a worker that does not accept in this time counts as unreachable. */
         const val CONNECT_TIMEOUT_MS = 400
 
@@ -230,16 +215,3 @@
 
 private fun Attempt.brokenOff() =
     CallFailure(CallStep.READ_BODY, target.worker.address, "stream ended inside an event", closedByPeer = true)
-
-/** Takes in what a worker, that of [target], says of itself in the [head] of a response. */
-private fun GatewayContext.onWorkerHead(
-    target: Target,
-    head: WorkerResponseHead,
-) {
-    reachability.onHeard()
-    limits.onResponse(target, head.requestsPerSecond)
-    if (head.misdirected) limits.cold?.onNotReceived(target)
-    head.coldRemainingMs?.let { limits.cold?.onResponse(target, it) }
-    if (head.leaving) notices.onLeaving(target)
-    head.pauseMs?.let { notices.onPause(target, it) }
-}
--- a/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/AttemptOutcomeHandler.kt
@@ -64,6 +64,7 @@
         }
         when {
             retry && request.retries.tryNow("worker_${head.status}") -> Unit
+            state.accepted.passOn?.misreads(head) == true -> request.passing.onMisread(attempt, head)
             else -> {
                 val details = listOf("status" to head.status, "signed" to head.authentic)
                 state.end(if (failed) "worker_error" else "served", details)
--- a/gateway/src/main/kotlin/auburnhall/gateway/CallerResponse.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/CallerResponse.kt
@@ -41,6 +41,7 @@
     fun startStream(headers: HttpHeaders) {
         if (streaming) return
         streaming = true
+        accepted.passOn?.state(Execution.Relayed, headers)
         response.start(OK, headers)
     }
 
@@ -71,22 +72,28 @@
         headers: HttpHeaders,
         body: ByteArray,
         onReleased: () -> Unit,
-    ) = response.send(status, headers, body, onReleased)
+    ) {
+        accepted.passOn?.state(Execution.Relayed, headers)
+        response.send(status, headers, body, onReleased)
+    }
 
     /**
      * Responds with status 503: the request was not executed and will not be. The caller may retry after [retryAfterMs]
      * milliseconds; null states no time.
      */
-    fun refuse(retryAfterMs: Long?) =
-        response.send(UNAVAILABLE, codec.refusalHeaders(accepted.metadata.id, retryAfterMs), ByteArray(0))
+    fun refuse(retryAfterMs: Long?) = sendOwn(UNAVAILABLE, Execution.NotExecuted, retryAfterMs)
 
     /** Ends the response to a request that may have been executed: with [status], or by aborting a started stream. */
-    fun fail(status: Int) {
-        if (streaming) {
-            response.abort()
-        } else {
-            response.send(status, codec.refusalHeaders(accepted.metadata.id, null), ByteArray(0))
-        }
+    fun fail(status: Int) = if (streaming) response.abort() else sendOwn(status, Execution.Uncertain, null)
+
+    private fun sendOwn(
+        status: Int,
+        execution: Execution,
+        retryAfterMs: Long?,
+    ) {
+        val headers = codec.refusalHeaders(accepted.metadata.id, retryAfterMs)
+        accepted.passOn?.state(execution, headers)
+        response.send(status, headers, ByteArray(0))
     }
 
     private fun recordPause() {
--- a/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
@@ -73,7 +73,15 @@
     val misdirected: Boolean = false,
     /** For how long, in milliseconds, the worker says that it stays cold; null if it does not say. */
     val coldRemainingMs: Long? = null,
-)
+) {
+    /** Whether the status is that of a success. */
+    val isSuccess: Boolean get() = status / STATUSES_PER_CLASS == SUCCESS_CLASS
+
+    private companion object {
+        const val STATUSES_PER_CLASS = 100
+        const val SUCCESS_CLASS = 2
+    }
+}
 
 /** Builds the headers of requests to workers and reads those of their responses. */
 interface WorkerCodec {
--- a/gateway/src/main/kotlin/auburnhall/gateway/Filters.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Filters.kt
@@ -39,15 +39,15 @@
     val service: String,
     /** Time by which the response must be complete, in milliseconds of the monotonic clock. */
     val deadlineMs: Long,
-    /** Whether another process has passed it on to this one. */
-    val passedOn: Boolean = false,
+    /** What the process states that has passed it on to this one; null for a caller's. */
+    val passOn: PassOn? = null,
 ) {
     /** This request as [passOn] states it; unchanged if that is null. */
     fun passedOn(passOn: PassOn?): AcceptedRequest =
         if (passOn == null) {
             this
         } else {
-            copy(route = route.copy(maxAttempts = minOf(route.maxAttempts, passOn.attemptsLeft)), passedOn = true)
+            copy(route = route.copy(maxAttempts = minOf(route.maxAttempts, passOn.attemptsLeft)), passOn = passOn)
         }
 
     /** Request id for log events; "-" if the caller sent none. */
--- a/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Gateway.kt
@@ -60,7 +60,7 @@
     ) {
         val metadata = context.codecs.caller.read(request.headers)
         when (val result = filters.decide(request, metadata)) {
-            is FilterResult.Refuse -> refuse(metadata, result, response)
+            is FilterResult.Refuse -> refuse(metadata, result, response, passOn)
             is FilterResult.Accept -> forward(result.accepted.passedOn(passOn), response)
         }
     }
@@ -119,6 +119,7 @@
         metadata: CallerRequestMetadata,
         result: FilterResult.Refuse,
         response: ResponseWriter,
+        passOn: PassOn?,
     ) {
         context.listener.logRequest(
             "request.refused",
@@ -128,10 +129,8 @@
             "configuration" to context.state.configuration?.version,
         )
         context.metrics.onRequestEnded("unknown", "refused_${result.status}", 0)
-        response.send(
-            result.status,
-            context.codecs.caller.refusalHeaders(metadata.id, result.retryAfterMs),
-            ByteArray(0),
-        )
+        val headers = context.codecs.caller.refusalHeaders(metadata.id, result.retryAfterMs)
+        passOn?.state(Execution.NotExecuted, headers)
+        response.send(result.status, headers, ByteArray(0))
     }
 }
--- a/gateway/src/main/kotlin/auburnhall/gateway/Helpers.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Helpers.kt
@@ -1,6 +1,7 @@
 /*
  * The processes to which this one can pass requests on while it reaches no worker. Processes of the own data centre are
  * asked first, but all of them may have lost their workers together, so only the first tries of a request go there.
+ * Those of an earlier build, whose refusals cannot be told from failures of workers, are asked when no other is left.
  */
 package auburnhall.gateway
 
@@ -51,6 +52,9 @@
     private var known: List<Helper> = emptyList()
     private val avoidUntilMs = HashMap<String, Long>()
 
+    /** Processes that do not state whether a request was executed. */
+    private val unclear = HashSet<String>()
+
     /** The name of this process. */
     val processName: String get() = self.process
 
@@ -62,7 +66,9 @@
     /** Replaces the other processes by [processes]. */
     fun onProcesses(processes: Collection<Helper>) {
         known = processes.toList()
-        avoidUntilMs.keys.retainAll(processes.mapTo(HashSet()) { it.process })
+        val names = processes.mapTo(HashSet()) { it.process }
+        avoidUntilMs.keys.retainAll(names)
+        unclear.retainAll(names)
     }
 
     /** Selects a helper for a request that the processes [asked] did not take; null if no other one is left. */
@@ -70,7 +76,8 @@
         if (asked.size >= MAX_ASKED) return null
         val now = clock.nowMs()
         avoidUntilMs.values.removeIf { it <= now }
-        val candidates = known.filter { it.process !in asked && it.process !in avoidUntilMs }
+        val available = known.filter { it.process !in asked && it.process !in avoidUntilMs }
+        val candidates = available.filter { it.process !in unclear }.ifEmpty { available }
         val near = if (asked.size < NEAR_TRIES) candidates.filter { it.dataCentre == self.dataCentre } else emptyList()
         return near.ifEmpty { candidates }.randomOrNull(random)
     }
@@ -85,6 +92,14 @@
         avoidUntilMs[process] = clock.nowMs() + AVOID_MS
     }
 
+    /** [process] has responded with a failure, and [stated] or not whether the request was executed. */
+    fun onFailedResponse(
+        process: String,
+        stated: Boolean,
+    ) {
+        if (stated) unclear.remove(process) else unclear.add(process)
+    }
+
     private companion object {
         /** Helpers that are asked for a request; each that refuses takes a round trip. */
         const val MAX_ASKED = 6
--- a/gateway/src/main/kotlin/auburnhall/gateway/PassedOnRequests.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/PassedOnRequests.kt
@@ -9,32 +9,6 @@
 import auburnhall.http.InboundRequest
 import auburnhall.http.RequestHandler
 import auburnhall.http.ResponseWriter
-import io.netty.handler.codec.http.HttpHeaders
-
-/** What a process states about a request that it passes on. */
-data class PassOn(
-    /** The name of that process. */
-    val process: String,
-    /** Number of targets, at least 1, that the request may still be sent to. */
-    val attemptsLeft: Int,
-) {
-    /** Writes it to [headers]. */
-    fun write(headers: HttpHeaders) {
-        headers.set(HEADER, "$process,$attemptsLeft")
-    }
-
-    companion object {
-        private const val HEADER = "Auburnhall-Passed-On"
-
-        /** Reads and removes what [write] wrote; null if it is missing or unreadable. */
-        fun take(headers: HttpHeaders): PassOn? {
-            val value = headers.get(HEADER).orEmpty()
-            headers.remove(HEADER)
-            val attemptsLeft = value.substringAfterLast(',').toIntOrNull()
-            return attemptsLeft?.let { PassOn(value.substringBeforeLast(','), it.coerceAtLeast(1)) }
-        }
-    }
-}
 
 /** Handles requests on the port to which other processes pass them on. Traffic thread only. */
 class PassedOnRequests(
@@ -61,7 +35,9 @@
             }
         if (passOn == null || refusal != null) {
             context.listener.logRequest("request.not_taken_over", metadata.id ?: "-", "reason" to refusal)
-            response.send(UNAVAILABLE, context.codecs.caller.refusalHeaders(metadata.id, null), ByteArray(0))
+            val headers = context.codecs.caller.refusalHeaders(metadata.id, null)
+            passOn?.state(Execution.NotExecuted, headers)
+            response.send(UNAVAILABLE, headers, ByteArray(0))
         } else {
             taken++
             context.listener.logRequest("request.taken_over", metadata.id ?: "-", "from" to passOn.process)
--- a/gateway/src/main/kotlin/auburnhall/gateway/RequestPassing.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/RequestPassing.kt
@@ -61,6 +61,17 @@
         if (!passOn()) request.retries.later(giveUp)
     }
 
+    /** A worker's response with [head] cannot be given to the process that has passed the request on to this one. */
+    fun onMisread(
+        attempt: Attempt,
+        head: WorkerResponseHead,
+    ) {
+        attempt.buffer.release()
+        state.detach(attempt)
+        state.mayHaveExecuted = true
+        request.end.onError("the process that passed it on would misread status ${head.status}")
+    }
+
     /** The request is sent to [helper], which may send it to [attemptsLeft] targets. */
     fun onSent(
         helper: Target,
@@ -92,7 +103,7 @@
      */
     fun select(): Target? {
         val asked = declined.isNotEmpty() && !context.reachability.isolated
-        if (accepted.passedOn || asked) return null
+        if (accepted.passOn != null || asked) return null
         return context.helpers.select(declined)?.asTarget(accepted.service, accepted.metadata.model)
     }
 
--- a/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
@@ -212,6 +212,7 @@
                 listOf(
                     route("safe", "plain", RequestKind.IDEMPOTENT, 1),
                     route("unsafe", "plain", RequestKind.NON_IDEMPOTENT, 1),
+                    route("unsafe-3", "plain", RequestKind.NON_IDEMPOTENT, 3),
                     route("stream", "model", RequestKind.STREAMING, 2),
                     route("stream-3", "model", RequestKind.STREAMING, 3),
                 ),
--- a/gateway/src/test/kotlin/auburnhall/gateway/HelpersTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/HelpersTest.kt
@@ -45,4 +45,15 @@
         time.advance(3_000)
         assertEquals("a1", helpers.select(emptySet())?.process)
     }
+
+    /** Guards against ending orders in an upgrade that another process would have served. */
+    @Test
+    fun `a process that does not say whether a request was executed is asked last`() {
+        helpers.onProcesses(listOf(helper("old", "a"), helper("new", "b")))
+        helpers.onFailedResponse("old", stated = false)
+        repeat(20) { assertEquals("new", helpers.select(emptySet())?.process) }
+        assertEquals("old", helpers.select(setOf("new"))?.process)
+        helpers.onFailedResponse("old", stated = true)
+        assertEquals("old", helpers.select(emptySet())?.process)
+    }
 }
--- a/gateway/src/test/kotlin/auburnhall/gateway/IsolatedProcessTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/IsolatedProcessTest.kt
@@ -1,12 +1,6 @@
 package auburnhall.gateway
 
 import auburnhall.core.Address
-import auburnhall.core.CallerLimits
-import auburnhall.core.Clock
-import auburnhall.core.Fleet
-import auburnhall.core.Worker
-import auburnhall.http.HttpServer
-import auburnhall.routing.TargetTable
 import org.junit.jupiter.api.AfterEach
 import org.junit.jupiter.api.Assertions.assertEquals
 import org.junit.jupiter.api.Assertions.assertFalse
@@ -21,26 +15,10 @@
 import java.util.concurrent.TimeUnit
 
 /** Callers of a process that reaches no worker, beside another process that does. */
-class IsolatedProcessTest : GatewayFixture() {
-    private val other = OtherProcess()
+class IsolatedProcessTest : IsolatedProcessFixture() {
+    private val other = otherProcess()
     private val silent = SilentListener()
 
-    /** A process that takes requests over, with workers of its own. */
-    private class OtherProcess : GatewayFixture() {
-        val helped =
-            HttpServer(loop, Clock.SYSTEM, { CallerLimits.DEFAULT }, PassedOnRequests(context, gateway))
-
-        init {
-            helped.bind(Address("127.0.0.1", 0)).sync()
-        }
-
-        fun serveBy(vararg targets: ScriptedWorker) = serve(*targets)
-
-        fun workerOf(vararg scripts: Script) = worker(*scripts)
-
-        fun endsAbruptly() = loop.parent().shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).sync()
-    }
-
     /** A port at which connections are neither made nor refused. */
     private class SilentListener : AutoCloseable {
         private val socket = ServerSocket(0, 1, InetAddress.getLoopbackAddress())
@@ -58,42 +36,16 @@
     }
 
     @BeforeEach
-    fun connectProcesses() {
-        val helper = Helper("other", Address("127.0.0.1", other.helped.port), "z")
-        loop.submit { helpers.onProcesses(listOf(helper)) }.sync()
-    }
+    fun connectProcesses() = connectTo(other.helped.port)
 
     @AfterEach
-    fun closeOther() {
-        other.close()
-        silent.close()
-    }
-
-    /** Serves by workers of which none can be reached, at the addresses that [worker] returns. */
-    private fun serveUnreachable(worker: (number: Int) -> Address) {
-        val listed = (0 until 8).map { workerEntry("i-$it", 1).copy(address = worker(it)) }
-        val plain = listed.map { it.copy(service = "plain", membership = null) }
-        serveFleet(listed + plain, listed)
-    }
-
-    private fun serveFleet(
-        workers: List<Worker>,
-        heads: List<Worker>,
-    ) {
-        val replicas = mapOf("model" to heads.map(::replica))
-        val table = TargetTable(Fleet(1, workers), CONFIGURATION.services.values, replicas)
-        loop.submit { gateway.update(GatewayState(CONFIGURATION, table)) }.sync()
-    }
-
-    private fun refusing() = serveUnreachable { Address("127.0.0.${it + 2}", 1) }
+    fun closeSilent() = silent.close()
 
     private fun await(condition: () -> Boolean) {
         val untilNs = System.nanoTime() + TimeUnit.SECONDS.toNanos(WAIT_S)
         while (!condition()) check(System.nanoTime() < untilNs) { "not within $WAIT_S s; ${events.names}" }
     }
 
-    private fun status(response: String) = response.substringAfter(' ').take(3)
-
     /** Guards against failing each caller of a process whose connections are refused (RECOVER). */
     @Test
     fun `callers are served by another process when connections to workers are refused`() {
