Call no request refused that a worker has run (REFUSED)

What callers saw: an order that a worker had run and answered with 408, 421, 429 or 503, without the statement that it did not run, reached its caller with this status, by which callers take it that it has not run and never will, and send it again. Found by: StatedExecutionTest, which plays each status with and without the statement and a signature. Seen by no user. Change: such a response is a failure of its worker (502, or another worker where the request may be repeated). 502 has no signature, so that it is not taken for the worker's. Measured: of the 156 cases of the new test, 24 fail on the code before, all with these statuses, and none now.

--- a/gateway/src/main/kotlin/auburnhall/gateway/ResponseMeaning.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ResponseMeaning.kt
@@ -1,6 +1,7 @@
 /*
  * What the complete response of a target means for its request: whether it may be sent elsewhere, and whether the
- * response may reach the caller. Only a statement that the request was not executed frees it; a status alone is none.
+ * response may reach the caller. Only a statement that the request was not executed frees it; a status alone is none,
+ * and a status by which callers take it that nothing was executed does not reach them without such a statement.
  */
 package auburnhall.gateway
 
@@ -36,7 +37,12 @@
         private fun ofExecuted(head: WorkerResponseHead): ResponseMeaning =
             when {
                 head.isSuccess && !head.authentic -> Failed("response is not signed or was re-encoded")
+                head.status in NOT_EXECUTED_STATUSES ->
+                    Failed("response has status ${head.status}, and does not say that nothing was executed")
                 else -> Final
             }
     }
 }
+
+/** Callers take these for a promise that the request was not executed and will not be. */
+private val NOT_EXECUTED_STATUSES = setOf(REQUEST_TIMEOUT, MISDIRECTED, TOO_MANY_REQUESTS, UNAVAILABLE)
--- a/gateway/src/test/kotlin/auburnhall/gateway/StatedExecutionTest.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/StatedExecutionTest.kt
@@ -17,6 +17,15 @@
         return process to worker
     }
 
+    /** Guards against calling a request not run that a worker of this process has run (REFUSED). */
+    @ParameterizedTest
+    @MethodSource("auburnhall.gateway.WorkerAnswer#all")
+    fun `a request that a worker has run is not called not run`(answer: WorkerAnswer) {
+        val workers = List(2) { worker(*Array(MAX_REQUESTS) { Script.Send(answer.text) }) }
+        serve(*workers.toTypedArray())
+        answer.check(call(answer), workers)
+    }
+
     /** Guards against taking a worker's answer that a helper passes on for the helper's refusal (TWICE, REFUSED). */
     @ParameterizedTest
     @MethodSource("auburnhall.gateway.WorkerAnswer#all")
--- a/gateway/src/test/kotlin/auburnhall/gateway/WorkerAnswer.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/WorkerAnswer.kt
@@ -49,7 +49,7 @@
         fun all(): List<WorkerAnswer> =
             listOf("/unsafe/x", "/unsafe-3/x", "/stream/x").flatMap { path ->
                 STATUSES.flatMap { status ->
-                    listOf(false, true).filter { it || status !in PROMISES }.flatMap { notRun ->
+                    listOf(false, true).flatMap { notRun ->
                         listOf(false, true).map { signed -> WorkerAnswer(path, status, notRun, signed) }
                     }
                 }
