--- a/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Codecs.kt
@@ -101,8 +101,10 @@
         resumeAfterEventId: String?,
     ): HttpHeaders
 
+    /** Reads the head of a response to a request to the worker [workerId]. */
     fun read(
         status: Int,
         headers: HttpHeaders,
+        workerId: String,
     ): WorkerResponseHead
 }
--- a/gateway/src/main/kotlin/auburnhall/gateway/ReceivedHead.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/ReceivedHead.kt
@@ -24,7 +24,7 @@
     headers: HttpHeaders,
 ): ReceivedHead {
     val execution = Execution.take(headers)
-    val head = codecs.worker.read(status, headers)
+    val head = codecs.worker.read(status, headers, target.worker.id)
     if (!target.helper) {
         onWorkerHead(target, head)
     } else if (!head.authentic) {
--- a/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
+++ b/gateway/src/test/kotlin/auburnhall/gateway/GatewayFixture.kt
@@ -270,6 +270,7 @@
     override fun read(
         status: Int,
         headers: HttpHeaders,
+        workerId: String,
     ) = WorkerResponseHead(
         status,
         headers.contains("notrun"),
