--- a/gateway/src/main/kotlin/auburnhall/gateway/Filters.kt
+++ b/gateway/src/main/kotlin/auburnhall/gateway/Filters.kt
@@ -29,34 +29,6 @@
         }
 }
 
-/** A request that has passed all filters. */
-data class AcceptedRequest(
-    val request: InboundRequest,
-    val metadata: CallerRequestMetadata,
-    val configuration: Configuration,
-    val route: Route,
-    val customer: Customer?,
-    val service: String,
-    /** Time by which the response must be complete, in milliseconds of the monotonic clock. */
-    val deadlineMs: Long,
-    /** What the process states that has passed it on to this one; null for a caller's. */
-    val passOn: PassOn? = null,
-) {
-    /** This request as [passOn] states it; unchanged if that is null. */
-    fun passedOn(passOn: PassOn?): AcceptedRequest =
-        if (passOn == null) {
-            this
-        } else {
-            copy(route = route.copy(maxAttempts = minOf(route.maxAttempts, passOn.attemptsLeft)), passOn = passOn)
-        }
-
-    /** Request id for log events; "-" if the caller sent none. */
-    val id: String get() = metadata.id ?: "-"
-
-    /** What its targets serve: the model, or the plain service. */
-    val served: String get() = metadata.model?.takeIf { configuration.services[service]?.engine != null } ?: service
-}
-
 /** Result of the filter chain. */
 sealed interface FilterResult {
     data class Accept(
@@ -193,33 +165,6 @@
     }
 }
 
-/** A stop of this process; times are in milliseconds of the monotonic clock. */
-data class ProcessStop(
-    /** Until when callers connect that do not know of the stop, whose requests are all taken. */
-    val takesAllUntilMs: Long,
-    /** When requests that are still in progress are ended. */
-    val endsAtMs: Long,
-)
-
-/** Refuses requests that come late in a stop and may not end before it does; other processes can serve them whole. */
-internal class StopFilter(
-    private val stop: () -> ProcessStop?,
-) : RequestFilter {
-    override fun check(
-        context: FilterContext,
-        next: (FilterContext) -> FilterResult,
-    ): FilterResult {
-        val current = stop() ?: return next(context)
-        val late = context.request.receivedAt > current.takesAllUntilMs && context.deadlineMs > current.endsAtMs
-        return if (late) FilterResult.Refuse(UNAVAILABLE, "process stops", RETRY_AFTER_MS) else next(context)
-    }
-
-    private companion object {
-        /** Other processes serve the request at once. */
-        const val RETRY_AFTER_MS = 50L
-    }
-}
-
 /** Chooses one of the services of a route at random, in proportion to their weights. */
 internal class TrafficSplitFilter(
     private val random: Random,
@@ -253,12 +198,3 @@
         const val RETRY_AFTER_MS = 1_000L
     }
 }
-
-internal const val UNAUTHORIZED = 401
-internal const val NOT_FOUND = 404
-internal const val REQUEST_TIMEOUT = 408
-internal const val MISDIRECTED = 421
-internal const val TOO_MANY_REQUESTS = 429
-internal const val BAD_GATEWAY = 502
-internal const val UNAVAILABLE = 503
-internal const val GATEWAY_TIMEOUT = 504
