--- a/process-test/src/test/kotlin/auburnhall/process/EntryProcessHandle.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/EntryProcessHandle.kt
@@ -3,6 +3,7 @@
  */
 package auburnhall.process
 
+import java.io.File
 import java.net.HttpURLConnection
 import java.net.ServerSocket
 import java.net.URI
@@ -16,7 +17,16 @@
     val port: Int = EntryProcessHandle.freePort(),
     /** Number of processes from which on they read the changes of the store through each other. */
     val relayFrom: Int = 2,
-)
+    /** The port at which requests are taken over from other processes; null if they are not. */
+    val helperPort: Int? = null,
+    /** The program's file. */
+    val jar: String = PROGRAM,
+) {
+    companion object {
+        /** The program's file; the system property `entry.jar` names that of another commit. */
+        val PROGRAM: String = System.getProperty("entry.jar") ?: "../target/auburnhall.jar"
+    }
+}
 
 /** An entry process that uses the store at [storePort]; processes that communicate as peers share [peerPort]. */
 class EntryProcessHandle(
@@ -25,7 +35,7 @@
     dir: Path,
     val host: String = "127.0.0.1",
     private val peerPort: Int = freePort(),
-    options: ProcessOptions = ProcessOptions(),
+    private val options: ProcessOptions = ProcessOptions(),
 ) : AutoCloseable {
     /** The port for callers. */
     val port: Int = options.port
@@ -33,6 +43,9 @@
 
     private val readinessPort = freePort()
 
+    /** The same port stands for none. */
+    private val helperPort = options.helperPort ?: peerPort
+
     /** The process's standard output and error. */
     val logFile: Path = dir.resolve("$name.log")
     private val process: Process
@@ -48,7 +61,7 @@
                 "-Xss256k",
                 "-XX:+ExitOnOutOfMemoryError",
                 "-jar",
-                JAR.toString(),
+                File(options.jar).canonicalPath,
                 "--metrics-port",
                 "0",
                 "--relay-from",
@@ -111,7 +124,7 @@
         storePort: Int,
     ) = """{"node_name":"$name","ip":"$host","zone":"z1",
         "listen":{"front":"$host:$port","ready":"$host:$readinessPort"},
-        "internal_ports":[$peerPort,$peerPort],"bootstrap":true,"bounds":{"grace_s":8,"retry_budget_ratio":0.2,
+        "internal_ports":[$peerPort,$helperPort],"bootstrap":true,"bounds":{"grace_s":8,"retry_budget_ratio":0.2,
         "budget_window_s":10,"retry_budget_extra":100,"evacuate_ms":$EVACUATE_MS},
         "platform":{"address":"127.0.0.1:$storePort","ttl_min_ms":1000}}"""
 
@@ -122,10 +135,6 @@
         private const val TIMEOUT_S = 60L
         private const val POLL_INTERVAL_MS = 50L
 
-        /** The program; the system property `entry.jar` names that of another commit. */
-        private val JAR: Path =
-            Path.of(System.getProperty("entry.jar") ?: "../target/auburnhall.jar").toAbsolutePath().normalize()
-
         /**
          * Below the ports that systems give to outgoing connections: one of those may be taken before
          * the process binds it.
--- a/process-test/src/test/kotlin/auburnhall/process/EvacuationProcessTest.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/EvacuationProcessTest.kt
@@ -121,7 +121,10 @@
         startProcess(1)
         val turnedAway = startProcess(2, store.port)
         processes[0].awaitEvent("replica.opened", times = REPLICAS)
-        processes.map(::callAt).forEach(::awaitServed)
+        awaitServed(callAt(turnedAway))
+        // Only the process that will be turned away has sent requests, so that it knows a replica that stays.
+        await("request elsewhere") { platform.arrivals.any { it.dataCentre != EVACUATED } }
+        awaitServed(callAt(processes[0]))
         awaitArrival()
         store.mode = StoreMode.REFUSING
         turnedAway.awaitEvent("store.lost")
--- a/process-test/src/test/kotlin/auburnhall/process/ScriptedOrders.kt
+++ b/process-test/src/test/kotlin/auburnhall/process/ScriptedOrders.kt
@@ -24,6 +24,10 @@
     @Volatile
     var statusOf: (id: String) -> String = { "200 OK" }
 
+    /** Header fields of the responses, by the ids of the requests, besides those that each has. */
+    @Volatile
+    var fieldsOf: (id: String) -> String = { "Response-Stamp: s\r\n" }
+
     /** Bytes that follow each response. */
     @Volatile
     var surplus = ""
@@ -73,7 +77,7 @@
             TimeUnit.MILLISECONDS.sleep(delayMs.toLong())
             val answer =
                 earlier?.let { before(it, id) }.orEmpty() +
-                    "HTTP/1.1 ${statusOf(id)}\r\nContent-Type: text/plain\r\nAttempt-Id: $id\r\nResponse-Stamp: s\r\n" +
+                    "HTTP/1.1 ${statusOf(id)}\r\nContent-Type: text/plain\r\nAttempt-Id: $id\r\n${fieldsOf(id)}" +
                     "Content-Length: $bodyBytes\r\n\r\n"
             socket.getOutputStream().write(answer.toByteArray() + ByteArray(bodyBytes.toInt()) + surplus.toByteArray())
             earlier = id
